--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -11,7 +11,6 @@
 
 HOST = "127.0.0.1"
 REPLICAS = 3
-INSTANCES_PER_DATA_CENTRE = 2
 SITES = {
     "lagos": {
         "data_centres": ["ikeja-1", "ikeja-2", "ikeja-3", "ikeja-4"],
@@ -38,6 +37,7 @@
     folder: Path
     port: int = 17000
     takeover_seconds: int = 60
+    instances: int = 8
     processes: dict[str, subprocess.Popen] = attrs.field(factory=dict)
 
     # Addresses.
@@ -52,8 +52,7 @@
 
     def instance_names(self):
         """Return the names of the instances."""
-        count = len(self.places()) * INSTANCES_PER_DATA_CENTRE
-        return [f"a{number}" for number in range(1, count + 1)]
+        return [f"a{number}" for number in range(1, self.instances + 1)]
 
     def instance_address(self, name):
         """Return the address of an instance."""
--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,281 @@
+"""
+Show that each proof fails without its mechanism.
+
+Each mutant leaves one mechanism out of a scratch copy of the tree and runs the
+test that stands for it: the test must fail. Prints JSON lines.
+"""
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import attrs
+import fire
+
+ROOT = Path(__file__).parent.parent
+TEST_SECONDS = 300
+WORKERS = 4
+
+
+@attrs.frozen
+class Mutant:
+    """A mechanism, the source that carries it, and the test that must miss it."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+CONSENSUS = "test_consensus.py"
+FLOWS = "test_flows.py"
+REQUESTS = "test_requests.py"
+SPREADING = "test_spreading.py"
+MUTANTS = (
+    Mutant(
+        "lost disk counts at once",
+        "coordination/recovery.py",
+        "    if not message.empty:\n        start_recovering(replica)\n        return",
+        "    if not message.empty:\n        start_full(replica, now)\n        return",
+        f"{CONSENSUS}::TestLostDisks",
+    ),
+    Mutant(
+        "readmitted without holding what was accepted",
+        "coordination/recovery.py",
+        "if not progress.recovering or progress.match < progress.target:",
+        "if not progress.recovering:",
+        f"{CONSENSUS}::TestLostDisks",
+    ),
+    Mutant(
+        "no check of the base revision",
+        "coordination/configuration.py",
+        "if change.base_revision != revision and not change.ignore_base:",
+        "if False:",
+        f"{CONSENSUS}::TestOperators",
+    ),
+    Mutant(
+        "answers are not remembered",
+        "coordination/configuration.py",
+        "        self.remember(self.results, change.change_id, result)",
+        "",
+        f"{CONSENSUS}::TestAcceptedConfiguration",
+    ),
+    Mutant(
+        "answers are not in snapshots",
+        "coordination/replication.py",
+        "results=list(machine.results.values()),",
+        "results=[],",
+        f"{CONSENSUS}::TestOperators",
+    ),
+    Mutant(
+        "no lease of the leader",
+        "coordination/replica.py",
+        "now - p.acked_at < LEASE_SECONDS",
+        "True",
+        f"{CONSENSUS}::TestIsolatedLeader",
+    ),
+    Mutant(
+        "votes are not stored",
+        "coordination/elections.py",
+        "        replica.hard.voted_for = sender\n        replica.save_hard_state()",
+        "        replica.hard.voted_for = sender",
+        f"{CONSENSUS}::TestVotes",
+    ),
+    Mutant(
+        "damage is read as a cut tail",
+        "coordination/storage.py",
+        'raise StorageError(f"damaged record at byte {offset} of {name}", "read log")',
+        "break",
+        "test_storage.py::TestDamage",
+    ),
+    Mutant(
+        "a cut tail is not dropped",
+        "coordination/storage.py",
+        "            os.truncate(log_path, used)",
+        "            pass",
+        "test_storage.py::TestTail",
+    ),
+    Mutant(
+        "no sync before the answer",
+        "coordination/storage.py",
+        "        self.sync(file.fileno())",
+        "        pass",
+        "test_storage.py::TestFailingDisk",
+    ),
+    Mutant(
+        "pins are not handed over",
+        "flows/transitions.py",
+        "        if after and self.pins.shards[shard]:",
+        "        if False:",
+        FLOWS,
+    ),
+    Mutant(
+        "nobody is asked for a pin",
+        "flows/streams.py",
+        "previous = [] if self.pins.get(key) else self.previous(key & SHARD_MASK)",
+        "previous = []",
+        f"{FLOWS}::TestSlowHandover",
+    ),
+    Mutant(
+        "pins off the rule are not copied",
+        "flows/handover.py",
+        "            message.pins = self.group(self.take(transfer.copies))",
+        "            self.take(transfer.copies)",
+        f"{FLOWS}::TestDeaths",
+    ),
+    Mutant(
+        "expired leases are used on",
+        "flows/streams.py",
+        "        return upstream if upstream.is_serving(now) else None",
+        "        return upstream",
+        f"{FLOWS}::TestChangedService",
+    ),
+    Mutant(
+        "the service of a pin is not checked",
+        "flows/streams.py",
+        "if upstream is None or upstream.service != service.name:",
+        "if upstream is None:",
+        f"{FLOWS}::TestCollidingKeys",
+    ),
+    Mutant(
+        "drains are not followed",
+        "flows/upstreams.py",
+        "        if self.drained or self.registration.draining:",
+        "        if False:",
+        f"{FLOWS}::TestDrain",
+    ),
+    Mutant(
+        "no claims",
+        "flows/requests.py",
+        "        if exchange.request.idempotent:\n            self.admit(exchange, now)\n"
+        "            return\n        exchange.state = State.CLAIMING",
+        "        self.admit(exchange, now)\n        return\n"
+        "        exchange.state = State.CLAIMING",
+        f"{REQUESTS}::TestRequests",
+    ),
+    Mutant(
+        "recorders without memory count",
+        "flows/claims.py",
+        "            claim.recorded += message.informed",
+        "            claim.recorded += 1",
+        "test_claims.py",
+    ),
+    Mutant(
+        "a claim needs one recorder",
+        "flows/claims.py",
+        "        needed = len(group) // 2 + 1",
+        "        needed = 1",
+        "test_claims.py",
+    ),
+    Mutant(
+        "duplicates are not known",
+        "flows/requests.py",
+        "        if known is not None and known.expires_at > now:",
+        "        if False:",
+        f"{REQUESTS}::TestDuplicates",
+    ),
+    Mutant(
+        "silence counts as not run",
+        "flows/requests.py",
+        "        else:\n            self.give_up(exchange, now)\n\n    def give_up",
+        "        else:\n            self.refuse(exchange, now)\n\n    def give_up",
+        f"{REQUESTS}::TestRequests",
+    ),
+    Mutant(
+        "silence is waited out",
+        "flows/requests.py",
+        "min(now + self.patience(exchange, now), exchange.deadline)",
+        "exchange.deadline",
+        f"{REQUESTS}::TestGivingUp",
+    ),
+    Mutant(
+        "no retry budget",
+        "flows/limits.py",
+        "        if self.tokens < 1:\n            return False",
+        "",
+        f"{REQUESTS}::TestRetries",
+    ),
+    Mutant(
+        "later blocks are placed anew",
+        "flows/requests.py",
+        "        if exchange.request.continues:\n"
+        "            self.continue_blocks(exchange, now)\n            return",
+        "",
+        f"{REQUESTS}::TestBlocks",
+    ),
+    Mutant(
+        "a revision is applied when it is held",
+        "coordination/spreading.py",
+        "        if backed or not neighbours:",
+        "        if True:",
+        f"{SPREADING}::TestRestartWithoutDisk",
+    ),
+    Mutant(
+        "an instance serves before it has asked",
+        "coordination/spreading.py",
+        "        if not self.ready or self.held.revision <= self.applied.revision:",
+        "        if self.held.revision <= self.applied.revision:",
+        f"{SPREADING}::TestRevisions",
+    ),
+    Mutant(
+        "lower revisions are taken",
+        "coordination/spreading.py",
+        "            if message.configuration.revision > self.held.revision:",
+        "            if True:",
+        f"{SPREADING}::TestRevisions",
+    ),
+    Mutant(
+        "frames may be replayed",
+        "schema/frames.py",
+        "        if sequence <= floor or sequence in self.seen:",
+        "        if False:",
+        "test_inputs.py::TestFrames",
+    ),
+)
+
+
+def run_mutant(mutant):
+    """Return what became of a mutant's test: the JSON line."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "tree"
+        ignored = shutil.ignore_patterns(".venv", ".git", "__pycache__", ".hypothesis")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        path = copy / "lycheevalve" / mutant.file
+        source = path.read_text()
+        if source.count(mutant.old) != 1:
+            return {"mutant": mutant.name, "result": "not applied"}
+        path.write_text(source.replace(mutant.old, mutant.new))
+        command = [sys.executable, "-m", "pytest", "-x", f"lycheevalve/tests/{mutant.test}"]
+        try:
+            done = subprocess.run(
+                command, cwd=copy, capture_output=True, text=True, timeout=TEST_SECONDS
+            )
+            result = {0: "survived", 1: "failed as it should"}.get(done.returncode, "error")
+            failed = [line for line in done.stdout.splitlines() if line.startswith("FAILED")]
+        except subprocess.TimeoutExpired:
+            result, failed = "timeout", []
+    return {"mutant": mutant.name, "test": mutant.test, "result": result, "failed": failed[:1]}
+
+
+def mutants(only=""):
+    """
+    Run all mutants, or those whose names contain ONLY.
+
+    Example: python -m bench.mutants --only claims
+    """
+    chosen = [mutant for mutant in MUTANTS if only in mutant.name]
+    missed = 0
+    with ThreadPoolExecutor(WORKERS) as pool:
+        for line in pool.map(run_mutant, chosen):
+            print(json.dumps(line), flush=True)
+            missed += line["result"] != "failed as it should"
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(mutants, serialize=lambda _: None)
--- a/lycheevalve/config/options.py
+++ b/lycheevalve/config/options.py
@@ -62,10 +62,13 @@
 
 def is_address(value):
     """Allow `ip:port`."""
+    allowed = "an address of the form ip:port, such as 127.0.0.1:9001"
+    if not isinstance(value, str):
+        return allowed
     try:
         parse_address(value)
-    except (ValueError, AttributeError):
-        return "an address of the form ip:port, such as 127.0.0.1:9001"
+    except ValueError:
+        return allowed
     return None
 
 
--- a/lycheevalve/coordination/membership.py
+++ b/lycheevalve/coordination/membership.py
@@ -71,6 +71,8 @@
 
     def __attrs_post_init__(self):
         self.members[self.me.name] = self.me
+        # Those who knew an older incarnation must hear of this one.
+        self.spread(self.me.name)
 
     def in_states(self, *states):
         """Return the members in one of `states`."""
--- a/lycheevalve/coordination/spreading.py
+++ b/lycheevalve/coordination/spreading.py
@@ -15,7 +15,7 @@
 from lycheevalve.coordination.configuration import apply_change
 from lycheevalve.schema.generated.messages import Configuration, Digest, Fetch, Fetched
 
-FETCH_TIMEOUT_SECONDS = 1.0
+FETCH_TIMEOUT_SECONDS = 0.4
 # Instances of other data centres that hear at once of a new revision.
 FANOUT = 3
 # Changes kept to answer an instance that lacks only a few.
--- a/lycheevalve/coordination/storage.py
+++ b/lycheevalve/coordination/storage.py
@@ -84,7 +84,7 @@
         os.close(descriptor)
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Storage:
     """
     The files of one replica; `sync` is called with each descriptor to sync.
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -24,6 +24,14 @@
 HEARTBEAT_SECONDS = 0.5
 SILENCE_SECONDS = 2.0
 QUEUE_MESSAGES = 256
+# What ends one link and nothing else.
+LINK_ERRORS = (
+    LycheevalveError,
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
 logger = logger.bind(part="links")
 
 
@@ -116,8 +124,9 @@
             try:
                 connection = await open_connection(address, self.make_codec())
                 await self.use_link(connection, message, receiver)
-            except (LycheevalveError, OSError, trio.BrokenResourceError) as error:
-                logger.debug("link failed", peer=name, reason=str(error))
+            except* LINK_ERRORS as group:
+                reasons = [str(error) for error in group.exceptions]
+                logger.debug("link failed", peer=name, reasons=reasons)
 
     async def use_link(self, connection, message, receiver):
         """Send what is queued until the link falls silent."""
@@ -155,7 +164,7 @@
                     answers.send_nowait(None)
                 except trio.WouldBlock:
                     pass
-        except (LycheevalveError, OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except LINK_ERRORS:
             scope.cancel()
 
 
@@ -173,7 +182,7 @@
             await serve_connection(stream, make_codec(), handle)
         except FrameError as error:
             logger.warning("bad link closed", peer=peer, reason=str(error))
-        except (UnavailableError, OSError, trio.BrokenResourceError) as error:
+        except LINK_ERRORS as error:
             logger.debug("link closed", peer=peer, reason=str(error))
 
     listeners = await trio.open_tcp_listeners(port, host=host)
--- a/lycheevalve/flows/ownership.py
+++ b/lycheevalve/flows/ownership.py
@@ -7,6 +7,8 @@
 Source: Thaler and Ravishankar, "Using Name-Based Mappings" (1998).
 """
 
+from functools import lru_cache
+
 import attrs
 import numpy
 import xxhash
@@ -51,24 +53,8 @@
     @classmethod
     def compute(cls, members):
         """Return the ownership in a view; `members` may be in any state."""
-        known = sorted(m.name for m in members if m.state != State.LEFT)
-        states = {member.name: member.state for member in members}
-        alive = {name for name in known if states[name] in (State.ALIVE, State.SUSPECT)}
-        reachable = {name for name in known if states[name] < State.DEAD}
-        staying = [name for name in known if states[name] != State.LEAVING]
-        if not known:
-            return cls()
-        table = rank(known).tolist()
-        result = cls()
-        for row in table:
-            names = [known[index] for index in row]
-            living = [name for name in names if name in alive]
-            result.owners.append(living[0] if living else "")
-            result.seconds.append(living[1] if len(living) > 1 else "")
-            stay = [name for name in names if name in staying]
-            result.groups.append(tuple(stay[:CLAIM_GROUP]))
-            result.ranks.append(tuple(n for n in names if n in reachable)[:RANKS_KEPT])
-        return result
+        known = sorted((m.name, State(m.state)) for m in members if m.state != State.LEFT)
+        return compute_ownership(tuple(known))
 
     def previous_owners(self, shard, me, joined_recently):
         """
@@ -85,3 +71,23 @@
         if joined_recently:
             previous += ranks[position + 1 : position + 2]
         return previous
+
+
+@lru_cache(maxsize=32)
+def compute_ownership(known):
+    """Return the Ownership for (name, state) pairs; the result is shared."""
+    if not known:
+        return Ownership()
+    names = [name for name, _ in known]
+    alive = {name for name, state in known if state in (State.ALIVE, State.SUSPECT)}
+    reachable = {name for name, state in known if state < State.DEAD}
+    staying = {name for name, state in known if state != State.LEAVING}
+    result = Ownership()
+    for row in rank(names).tolist():
+        ranked = [names[index] for index in row]
+        living = [name for name in ranked if name in alive]
+        result.owners.append(living[0] if living else "")
+        result.seconds.append(living[1] if len(living) > 1 else "")
+        result.groups.append(tuple([n for n in ranked if n in staying][:CLAIM_GROUP]))
+        result.ranks.append(tuple(n for n in ranked if n in reachable)[:RANKS_KEPT])
+    return result
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -17,8 +17,10 @@
 
 # A sent request is given up on after this many times the expected latency ...
 SILENCE_FACTOR = 8.0
-# ... but not before this many seconds.
+# ... but not before this many seconds; of an upstream whose latency is not
+# known yet, after this share of the time that is left.
 MIN_SILENCE_SECONDS = 1.0
+FIRST_SILENCE_SHARE = 0.5
 MAX_ATTEMPTS = 3
 MAX_QUEUE = 256
 UNKNOWN_RETRY_AFTER_SECONDS = 2
@@ -227,9 +229,7 @@
         exchange.sent_at = now
         exchange.attempts += 1
         exchange.tried.add(upstream.index)
-        expected = upstream.latency + limits.estimate_wait(upstream, now)
-        patience = max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * expected)
-        exchange.silent_at = min(now + patience, exchange.deadline)
+        exchange.silent_at = min(now + self.patience(exchange, now), exchange.deadline)
         upstream.outstanding += 1
         upstream.since_report += 1
         self.pins.put(exchange.key, upstream.index, int(now))
@@ -237,6 +237,15 @@
         coap.set_deadline(message, max(1, int((exchange.deadline - now) * 1000)))
         self.to_upstream(upstream, exchange.header + message.encode())
 
+    @staticmethod
+    def patience(exchange, now):
+        """Return the seconds of silence after which a sent request is given up on."""
+        upstream = exchange.upstream
+        if not upstream.answers:
+            return (exchange.deadline - now) * FIRST_SILENCE_SHARE
+        expected = upstream.latency + limits.estimate_wait(upstream, now)
+        return max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * expected)
+
     def retry_or(self, exchange, now, give_up):
         """Send to another upstream within the budget, else `give_up`."""
         upstream = self.choose(exchange, self.candidates(exchange, now), now)
@@ -346,6 +355,7 @@
         if message.code == coap.NOT_RUN:
             self.happen(exchange, Event.SHED, now)
             return
+        upstream.answers += 1
         limits.update_latency(upstream, now - exchange.sent_at)
         exchange.reply = message
         self.happen(exchange, Event.ANSWER, now)
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -2,9 +2,8 @@
 The upstreams of a site: soft state from their announcements.
 
 An announcement is a lease: without a renewal the upstream is gone when its
-lifetime has passed. An address that changes to another service is used for it
-only after every lease of the old service has run out everywhere, so no packet
-of the old service can meet the new one.
+lifetime has passed. An address must not come back with another service before
+that and MAX_TRANSIT_SECONDS: until then some instance may still use it.
 """
 
 import enum
@@ -47,6 +46,7 @@
     since_report: int = 0
     new_flows_since_report: int = 0
     latency: float = 0.1
+    answers: int = 0
     # Requests in a row that met silence.
     silent: int = 0
     answered_at: float = 0.0
@@ -124,18 +124,13 @@
 
     def replace(self, current, registration, address, now):
         """Add a new incarnation; the old one of the address ends."""
-        usable_at = now + HOLD_SECONDS
         if current is not None:
-            if current.service != registration.service_name:
-                usable_at = max(usable_at, current.expires_at + MAX_TRANSIT_SECONDS)
-                old_lease = current.registration.lifetime_ms / 1000
-                usable_at = max(usable_at, now + old_lease + MAX_TRANSIT_SECONDS)
             current.expires_at = min(current.expires_at, now)
         upstream = Upstream(
             index=self.next_index,
             registration=registration,
             address=address,
-            usable_at=usable_at,
+            usable_at=now + HOLD_SECONDS,
             expires_at=now + registration.lifetime_ms / 1000,
             first_seen=now,
             reported_at=now,
@@ -162,6 +157,23 @@
         known = self.by_service.get(service, ())
         return [upstream for upstream in known if upstream.state(now) is UpstreamState.UP]
 
+    def live_leases(self, now, addresses=None):
+        """Return the registrations that hold, each with the lifetime that is left."""
+        return [
+            attrs.evolve(u.registration, lifetime_ms=int((u.expires_at - now) * 1000))
+            for u in self.by_address.values()
+            if u.expires_at > now and (addresses is None or u.registration.address in addresses)
+        ]
+
+    def late_leases(self, now):
+        """Return the addresses whose lease has run for more than half its time."""
+        return [
+            u.registration.address
+            for u in self.by_address.values()
+            if u.state(now) is not UpstreamState.GONE
+            and now - u.reported_at > u.registration.lifetime_ms / 2000
+        ]
+
     def usable_indices(self, now):
         """Return the indices of all upstreams that may get new work."""
         known = self.by_index.values()
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -44,6 +44,7 @@
 VIEW_SECONDS = 0.05
 SPREAD_SECONDS = 0.5
 REGISTRATIONS_SECONDS = 0.1
+LEASE_QUERY_SECONDS = 0.3
 HOUSEKEEPING_SECONDS = 1.0
 SYNC_SECONDS = 0.5
 # How long a leaving instance stays at least, for packets under way to it.
@@ -162,6 +163,7 @@
         timers.subscribe(PERIOD_SECONDS, self.membership.tick, now, self.random.random())
         timers.subscribe(SPREAD_SECONDS, self.spreading.tick, now, 0.0)
         timers.subscribe(REGISTRATIONS_SECONDS, self.send_registrations, now)
+        timers.subscribe(LEASE_QUERY_SECONDS, self.query_leases, now)
         timers.subscribe(SYNC_SECONDS, self.sync_peers, now, 0.0)
         timers.subscribe(HOUSEKEEPING_SECONDS, self.keep_house, now)
 
@@ -267,14 +269,22 @@
             self.upstreams.update(registration, now)
 
     def build_sync(self, now, reply_wanted):
-        """Return all members and live upstreams, leases cut to what is left."""
-        registrations = [
-            attrs.evolve(u.registration, lifetime_ms=int((u.expires_at - now) * 1000))
-            for u in self.upstreams.by_address.values()
-            if u.expires_at > now
-        ]
+        """Return all members and live upstreams."""
         members = list(self.membership.members.values())
-        return messages.Sync(members, registrations, reply_wanted)
+        return messages.Sync(members, self.upstreams.live_leases(now), reply_wanted)
+
+    def query_leases(self, now):
+        """Ask another instance for leases that should have been renewed by now."""
+        late = self.upstreams.late_leases(now)
+        others = self.live_others()
+        if late and others:
+            self.send(self.random.choice(others), messages.LeaseQuery(late))
+
+    def handle_lease_query(self, sender, message, now):
+        """Answer with the leases that are known here."""
+        leases = self.upstreams.live_leases(now, message.addresses)
+        if leases:
+            self.send(sender, messages.Registrations(leases))
 
     def sync_peers(self, now):
         """Ask the peers for what this instance lacks until it is informed."""
@@ -384,6 +394,7 @@
     messages.PingRequest: lambda self, *call: self.membership.handle_ping_request(*call),
     messages.Sync: Instance.handle_sync,
     messages.Registrations: Instance.handle_registrations,
+    messages.LeaseQuery: Instance.handle_lease_query,
     messages.Claim: lambda self, *call: self.claims.handle_claim(*call),
     messages.ClaimAck: lambda self, *call: self.claims.handle_ack(*call),
     messages.PinQuery: lambda self, *call: self.streams.handle_query(*call),
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -39,6 +39,7 @@
   FAILURE = 29
   GREETING = 30
   CHANGE_MEMBERS = 31
+  LEASE_QUERY = 32
 }
 
 struct Header {
@@ -103,6 +104,10 @@
   1: list<Registration> registrations
 }
 
+struct LeaseQuery {
+  1: list<string> addresses
+}
+
 struct Claim {
   1: i64 number
   2: list<i64> keys
--- /dev/null
+++ b/lycheevalve/tests/fakes/machines.py
@@ -0,0 +1,73 @@
+"""Base of the stateful tests that drive a whole Site."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lycheevalve.tests.fakes.site import Site
+
+SERVICES = ("nightsync", "restreport")
+
+
+class SiteMachine(RuleBasedStateMachine):
+    """A site that starts from a seed, with planned changes of every kind."""
+
+    network = {}
+
+    def __init__(self):
+        super().__init__()
+        self.site = None
+        self.callers = 0
+
+    def is_started(self):
+        """Return whether the site runs."""
+        return self.site is not None
+
+    @precondition(lambda self: self.site is None)
+    @rule(seed=st.integers(0, 2**32), instances=st.integers(3, 5))
+    def start_site(self, seed, instances):
+        self.site = Site(seed, instances, **self.network)
+        self.site.settle()
+        self.started()
+
+    def started(self):
+        """Prepare what a machine needs."""
+
+    @precondition(is_started)
+    @rule(tenths=st.integers(1, 25))
+    def pass_time(self, tenths):
+        self.site.run(tenths / 10)
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4))
+    def stop_or_start(self, number):
+        """A planned stop, or the start of what is down."""
+        name = self.site.names[number % len(self.site.names)]
+        staying = set(self.site.running) - self.site.frozen - self.site.leaving
+        if name not in self.site.running:
+            self.site.start(name)
+        elif name in staying and len(staying) > 2:
+            self.site.stop(name)
+
+    @precondition(is_started)
+    @rule(numbers=st.sets(st.integers(0, 4), max_size=1))
+    def drain(self, numbers):
+        """Operators change which upstreams are drained."""
+        addresses = [u.address for u in self.site.upstreams.values()]
+        self.site.configure(drained=[addresses[number] for number in numbers])
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4))
+    def upstream_drains_itself(self, number):
+        upstream = list(self.site.upstreams.values())[number]
+        upstream.draining = not upstream.draining
+
+    def next_caller(self):
+        """Return the address of a new caller."""
+        self.callers += 1
+        return (f"10.5.{self.callers // 250}.{self.callers % 250 + 1}", 5000)
+
+    @invariant()
+    def nothing_is_misrouted(self):
+        """No packet reaches another service, no answer another caller or front door."""
+        if self.site is not None:
+            assert self.site.misrouted() == []
--- /dev/null
+++ b/lycheevalve/tests/fakes/replicas.py
@@ -0,0 +1,151 @@
+"""Replicas of the log with disks in memory, joined by a Network."""
+
+import copy
+
+import attrs
+
+from lycheevalve.coordination import consensus
+from lycheevalve.coordination.replica import Role
+from lycheevalve.coordination.storage import Stored
+from lycheevalve.schema.generated.messages import Change, Configuration
+from lycheevalve.schema.generated.settings import FrontDoor, Service
+from lycheevalve.tests.fakes.network import Network
+
+STEP_SECONDS = 0.05
+
+
+def build_service(name, port=7001):
+    """Return a valid service."""
+    doors = [FrontDoor(f"127.0.0.1:{port}", "stream")]
+    return Service(name=name, front_doors=doors, data_centres=["dc1"])
+
+
+def build_change(change_id, base, name="nightsync"):
+    """Return a change that puts one service."""
+    return Change(change_id, base, [build_service(name)], author="student")
+
+
+class Disk:
+    """What is synced; `write` does for a replica what Storage does."""
+
+    def __init__(self):
+        self.stored = Stored()
+
+    def write(self, effects):
+        """Store copies of what `effects` says."""
+        stored = self.stored
+        if effects.truncate_from:
+            stored.entries = [e for e in stored.entries if e.index < effects.truncate_from]
+        stored.entries += copy.deepcopy(effects.entries)
+        if effects.hard_state is not None:
+            stored.hard_state = attrs.evolve(effects.hard_state)
+        if effects.snapshot is not None:
+            stored.snapshot = copy.deepcopy(effects.snapshot)
+            index = effects.snapshot.index
+            stored.entries = [e for e in stored.entries if e.index > index]
+
+
+class Replicas:
+    """A few replicas, their disks, and what operators were told."""
+
+    def __init__(self, count, random, **network):
+        self.random = random
+        self.network = Network(random, **network)
+        self.names = [f"r{number}" for number in range(1, count + 1)]
+        self.disks = {name: Disk() for name in self.names}
+        self.running = {}
+        self.frozen = set()
+        self.now = 100.0
+        self.results = []
+        self.applied = {name: Configuration() for name in self.names}
+        for name in self.names:
+            self.restart(name)
+
+    def restart(self, name):
+        """Start a replica from its disk."""
+        stored = copy.deepcopy(self.disks[name].stored)
+        self.running[name] = consensus.start_replica(
+            name, self.names, self.random, stored, self.now
+        )
+
+    def crash(self, name):
+        """End a replica; its disk stays."""
+        self.running.pop(name, None)
+        self.frozen.discard(name)
+
+    def lose_disk(self, name):
+        """End a replica and empty its disk."""
+        self.crash(name)
+        self.disks[name] = Disk()
+
+    def is_whole(self, name):
+        """Return whether a replica's disk holds its promises."""
+        hard = self.disks[name].stored.hard_state
+        return hard is not None and not hard.recovering
+
+    def carry_out(self, name, crash=False):
+        """Write, then send and note the results; a crash comes in between."""
+        replica = self.running[name]
+        effects = replica.take_effects()
+        self.disks[name].write(effects)
+        if crash:
+            self.crash(name)
+            return
+        for receiver, message in effects.sends:
+            self.network.send(name, receiver, copy.deepcopy(message))
+        for result in effects.results:
+            self.results.append((name, result))
+
+    def step(self, seconds=STEP_SECONDS, share=1.0):
+        """Let time pass, tick all, deliver some of the messages."""
+        self.now += seconds
+        for name in list(self.running):
+            if name not in self.frozen:
+                consensus.tick(self.running[name], self.now)
+                self.carry_out(name)
+        for sender, receiver, message in self.network.take(share):
+            if receiver in self.frozen:
+                self.network.queue.append((sender, receiver, message))
+            elif receiver in self.running:
+                consensus.handle(self.running[receiver], sender, message, self.now)
+                self.carry_out(receiver)
+
+    def leaders(self):
+        """Return the names of the replicas that would take a change now."""
+        return [
+            name
+            for name, replica in self.running.items()
+            if name not in self.frozen and consensus.can_propose(replica, self.now)
+        ]
+
+    def propose(self, name, change):
+        """Propose at a replica; return its answer if it has one at once."""
+        result = consensus.propose(self.running[name], change, self.now)
+        self.carry_out(name)
+        return result
+
+    def run_until(self, condition, steps=400):
+        """Step until `condition()` holds; return whether it did."""
+        for _ in range(steps):
+            if condition():
+                return True
+            self.step()
+        return condition()
+
+    def recover_all(self):
+        """End all faults and start what is down."""
+        self.network.heal()
+        self.network.loss = self.network.duplication = 0.0
+        self.frozen.clear()
+        for name in self.names:
+            if name not in self.running:
+                self.restart(name)
+
+    def roles(self, role):
+        """Return the names of the replicas in a role."""
+        return [name for name, replica in self.running.items() if replica.role is role]
+
+    def is_settled(self):
+        """Return whether there is a leader and no replica recovers."""
+        troubled = self.roles(Role.BLANK) + self.roles(Role.RECOVERING)
+        return bool(self.leaders()) and not troubled
--- /dev/null
+++ b/lycheevalve/tests/fakes/site.py
@@ -0,0 +1,318 @@
+"""Instances joined by a queue in memory, with upstreams that keep a ledger."""
+
+import collections
+import random
+
+import attrs
+from aiocoap.numbers import codes, types
+
+from lycheevalve.flows import coap
+from lycheevalve.flows.upstreams import MAX_TRANSIT_SECONDS
+from lycheevalve.instance import Instance
+from lycheevalve.schema.generated.messages import Configuration, Registration
+from lycheevalve.schema.generated.settings import FrontDoor, Service
+from lycheevalve.schema.generated.settings import Instance as Settings
+from lycheevalve.tests.fakes.network import Network
+from lycheevalve.tests.fakes.proxy import build_header, split
+from lycheevalve.utils.addresses import parse_address
+
+STEP_SECONDS = 0.01
+ANNOUNCE_SECONDS = 1.0
+LIFETIME_MS = 3000
+FABRIC = ("10.9.0.1", 7000)
+DOORS = {
+    ("nightsync", "stream"): "10.8.0.1:7001",
+    ("nightsync", "request"): "10.8.0.1:7002",
+    ("restreport", "stream"): "10.8.0.2:7001",
+    ("restreport", "request"): "10.8.0.2:7002",
+}
+PLACES = ("dc1", "dc2")
+
+
+def build_configuration(revision=1, drained=(), deadline_ms=4000):
+    """Return a configuration with two services of both kinds."""
+    services = []
+    for name in ("nightsync", "restreport"):
+        doors = [FrontDoor(DOORS[name, kind], kind) for kind in ("stream", "request")]
+        services.append(
+            Service(name, doors, list(PLACES), deadline_ms=deadline_ms, warm_up_seconds=1)
+        )
+    return Configuration(revision, services, sorted(drained))
+
+
+@attrs.define(eq=False)
+class FakeUpstream:
+    """An upstream whose ledger is the oracle."""
+
+    address: str
+    service: str
+    incarnation: int = 1
+    sequence: int = 0
+    slots: int = 3
+    delay: float = 0.02
+    # What it does with requests: run, shed, swallow (run, no answer).
+    mode: str = "run"
+    draining: bool = False
+    up: bool = True
+    announce_at: float = 0.0
+    back_at: float = 0.0
+    sessions: dict = attrs.field(factory=dict)
+    runs: collections.Counter = attrs.field(factory=collections.Counter)
+    misrouted: list = attrs.field(factory=list)
+    seen: dict = attrs.field(factory=dict)
+    due: list = attrs.field(factory=list)
+    cancelled: set = attrs.field(factory=set)
+    # Times at which new sessions or requests arrived.
+    new_work: list = attrs.field(factory=list)
+
+    def registration(self, leaving=False):
+        """Return the next announcement."""
+        self.sequence += 1
+        return Registration(
+            service_name=self.service,
+            address=self.address,
+            data_centre="dc1",
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            lifetime_ms=LIFETIME_MS,
+            slots=self.slots,
+            connections=2000,
+            busy=len(self.due),
+            sessions=len(self.sessions),
+            draining=self.draining,
+            leaving=leaving,
+        )
+
+    def change_service(self, service, now):
+        """Go away, and come back at the same address when the lease is over."""
+        self.up = False
+        self.back_at = now + LIFETIME_MS / 1000 + MAX_TRANSIT_SECONDS
+        self.service = service
+        self.incarnation += 1
+        self.sessions, self.seen, self.due = {}, {}, []
+        self.announce_at = 0.0
+
+    def take(self, datagram, source, now):
+        """Take a datagram; return answers to send at once."""
+        caller, door, payload = split(datagram)
+        kinds = [
+            kind
+            for kind in ("stream", "request")
+            if parse_address(DOORS[self.service, kind]) == door
+        ]
+        if not kinds:
+            self.misrouted.append((now, door, payload))
+            return []
+        if kinds == ["stream"]:
+            session = (caller, payload.partition(b"|")[0])
+            if session not in self.sessions:
+                self.new_work.append(now)
+            self.sessions[session] = now
+            return [build_header(caller, door) + payload + b"|" + self.address.encode()]
+        return self.take_request(caller, door, payload, source, now)
+
+    def take_request(self, caller, door, payload, source, now):
+        """Run, shed or swallow a request; duplicates get the first answer again."""
+        message = coap.decode_message(payload)
+        identity = caller, message.mid
+        if message.mtype is types.RST:
+            self.cancelled.add(identity)
+            return []
+        if identity in self.seen:
+            return [self.seen[identity]] if self.seen[identity] else []
+        self.new_work.append(now)
+        if self.mode == "shed":
+            code = codes.SERVICE_UNAVAILABLE
+            reply = coap.encode_reply(message.mid, message.token, code)
+            self.seen[identity] = build_header(caller, door) + reply
+            return [self.seen[identity]]
+        self.seen[identity] = b""
+        self.runs[message.payload] += 1
+        reply = coap.encode_reply(message.mid, message.token, codes.CHANGED, message.payload)
+        if self.mode != "swallow":
+            answer = build_header(caller, door) + reply
+            self.due.append((now + self.delay, identity, answer, source))
+        return []
+
+    def finish_due(self, now):
+        """Return (answer, receiver) of requests whose time has come."""
+        done = [job for job in self.due if job[0] <= now]
+        self.due = [job for job in self.due if job[0] > now]
+        for _, identity, answer, _ in done:
+            self.seen[identity] = answer
+        return [(answer, source) for _, _, answer, source in done]
+
+
+class Site:
+    """Instances, upstreams, and callers that are plain addresses."""
+
+    def __init__(self, seed, instances=4, nightsync=3, restreport=2, **network):
+        self.random = random.Random(seed)
+        self.network = Network(self.random, **network)
+        self.now = 1000.0
+        self.names = [f"a{number}" for number in range(1, instances + 1)]
+        self.addresses = {n: f"10.0.0.{i}:7100" for i, n in enumerate(self.names, 1)}
+        self.by_address = {parse_address(a): n for n, a in self.addresses.items()}
+        self.running = {}
+        self.frozen = set()
+        self.leaving = set()
+        self.incarnation = 0
+        self.configuration = build_configuration()
+        services = ["nightsync"] * nightsync + ["restreport"] * restreport
+        self.upstreams = {
+            parse_address(f"10.1.0.{i}:7300"): FakeUpstream(f"10.1.0.{i}:7300", service)
+            for i, service in enumerate(services, 1)
+        }
+        # What came back to callers: (time, caller, front door, payload).
+        self.answers = []
+        for name in self.names:
+            self.start(name)
+
+    # Events.
+
+    def start(self, name):
+        """Start an instance without any memory."""
+        self.incarnation += 1
+        settings = Settings(
+            name=name,
+            data_centre=PLACES[self.names.index(name) % 2],
+            site="test",
+            address=self.addresses[name],
+            peers=[f"{n}@{a}" for n, a in self.addresses.items() if n != name],
+            fabric=["10.9.0.1:7000"],
+            registry="10.8.0.3:5683",
+            control_bytes_per_second=4096,
+            takeover_seconds=20,
+        )
+        seeded = random.Random(self.random.random())
+        instance = Instance(settings, b"key", self.incarnation, seeded, self.now)
+        self.running[name] = instance
+
+    def kill(self, name):
+        """End an instance at once."""
+        self.running.pop(name, None)
+        self.frozen.discard(name)
+        self.leaving.discard(name)
+
+    def stop(self, name):
+        """Start the graceful stop of an instance."""
+        self.running[name].leave(self.now)
+        self.leaving.add(name)
+
+    def configure(self, **options):
+        """Have the next configuration committed at one instance."""
+        revision = self.configuration.revision + 1
+        self.configuration = build_configuration(revision, **options)
+        self.commit()
+
+    def commit(self):
+        """Hand the configuration to one running instance, as its replica would."""
+        name = self.random.choice(sorted(set(self.running) - self.frozen))
+        spreading = self.running[name].spreading
+        spreading.take_committed(self.configuration, [], self.now)
+
+    def send(self, caller, service, kind, payload, instance=None):
+        """Send a caller's datagram to a random instance; return which."""
+        live = sorted(set(self.running) - self.frozen - self.leaving)
+        name = instance or self.random.choice(live)
+        door = parse_address(DOORS[service, kind])
+        self.network.queue.append((FABRIC, name, build_header(caller, door) + payload))
+        return name
+
+    # Time.
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.step()
+
+    def step(self):
+        """One step: timers, upstreams, then everything that is under way."""
+        self.now += STEP_SECONDS
+        for name in list(self.running):
+            if name not in self.frozen:
+                self.running[name].run_timers(self.now)
+                self.flush(name)
+                self.end_leaving(name)
+        for address, upstream in self.upstreams.items():
+            self.run_upstream(address, upstream)
+        for source, receiver, content in self.network.take():
+            self.deliver(source, receiver, content)
+
+    def end_leaving(self, name):
+        """End an instance whose graceful stop is complete."""
+        if name in self.leaving and self.running[name].has_left(self.now):
+            self.running[name].depart(self.now)
+            self.flush(name)
+            self.kill(name)
+
+    def run_upstream(self, address, upstream):
+        """Announce when it is time, and answer what is done."""
+        if not upstream.up:
+            upstream.up = bool(upstream.back_at) and self.now >= upstream.back_at
+            return
+        if self.now >= upstream.announce_at:
+            upstream.announce_at = self.now + ANNOUNCE_SECONDS
+            self.announce(upstream.registration())
+        for answer, receiver in upstream.finish_due(self.now):
+            self.network.send(address, self.by_address[receiver], answer)
+
+    def announce(self, registration):
+        """Let an announcement reach one instance, of its data centre while others are cut."""
+        live = sorted(set(self.running) - self.frozen - self.leaving)
+        if self.network.cuts:
+            place = registration.data_centre
+            live = [n for n in live if self.running[n].settings.data_centre == place]
+        if live:
+            self.running[self.random.choice(live)].announce(registration, self.now)
+
+    def deliver(self, source, receiver, content):
+        """Hand a datagram or message to its receiver."""
+        if receiver in self.upstreams:
+            upstream = self.upstreams[receiver]
+            if upstream.up:
+                for answer in upstream.take(content, source, self.now):
+                    self.network.send(receiver, self.by_address[source], answer)
+        elif receiver == FABRIC:
+            caller, door, payload = split(content)
+            self.answers.append((self.now, caller, door, payload))
+        elif receiver in self.running and receiver not in self.frozen:
+            instance = self.running[receiver]
+            instance.observe_time(self.now)
+            if isinstance(content, bytes):
+                instance.handle_datagram(content, source, self.now)
+            else:
+                instance.handle_message(source, content, self.now)
+            self.flush(receiver)
+
+    def flush(self, name):
+        """Put what an instance sends on its way."""
+        instance = self.running[name]
+        own = parse_address(self.addresses[name])
+        datagrams, instance.datagrams = instance.datagrams, []
+        for datagram, address in datagrams:
+            target = self.by_address.get(address, address)
+            source = name if target in self.addresses else own
+            self.network.send(source, target, datagram)
+        queued, instance.messages = instance.messages, []
+        for receiver, message in queued:
+            self.network.send(name, receiver, message)
+
+    # Questions.
+
+    def settle(self, seconds=3.0):
+        """Run until everything is known everywhere."""
+        self.run(0.5)
+        self.commit()
+        self.run(seconds)
+        for instance in self.running.values():
+            assert instance.spreading.applied.revision == self.configuration.revision
+            assert instance.claims.informed
+
+    def answers_to(self, caller):
+        """Return the payloads that came back to a caller."""
+        return [payload for _, to, _, payload in self.answers if to == caller]
+
+    def misrouted(self):
+        """Return what reached an upstream of another service."""
+        return [entry for upstream in self.upstreams.values() for entry in upstream.misrouted]
--- /dev/null
+++ b/lycheevalve/tests/test_consensus.py
@@ -0,0 +1,350 @@
+"""The replicated log under crashes, cuts, freezes, lost disks and races of operators."""
+
+import random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lycheevalve.coordination import consensus
+from lycheevalve.coordination.configuration import Outcome
+from lycheevalve.coordination.replica import Role
+from lycheevalve.schema.generated.messages import Vote, VoteRequest
+from lycheevalve.tests.fakes.replicas import Replicas, build_change
+
+
+class AcceptedConfiguration(RuleBasedStateMachine):
+    """
+    Oracle: each revision has one change, each change id one answer, for ever.
+
+    Real time: what is answered after a change was accepted knows of it.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.replicas = None
+        self.answers = {}
+        self.winners = {}
+        self.changes = {}
+        self.number = 0
+        self.invoked_after = {}
+        self.newest = 0
+        self.seen_results = 0
+
+    @precondition(lambda self: self.replicas is None)
+    @rule(
+        seed=st.integers(0, 2**32),
+        count=st.sampled_from([3, 3, 5]),
+        loss=st.sampled_from([0.0, 0.1]),
+        duplication=st.sampled_from([0.0, 0.2]),
+    )
+    def start(self, seed, count, loss, duplication):
+        self.replicas = Replicas(count, random.Random(seed), loss=loss, duplication=duplication)
+        assert self.replicas.run_until(self.replicas.is_settled)
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(steps=st.integers(1, 40), share=st.sampled_from([0.3, 1.0, 1.0]))
+    def pass_time(self, steps, share):
+        for _ in range(steps):
+            self.replicas.step(share=share)
+            self.collect()
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(behind=st.integers(0, 1), copies=st.integers(1, 2))
+    def propose(self, behind, copies):
+        """Operators race: several changes with the same base, at all leaders."""
+        for _ in range(copies):
+            self.number += 1
+            change = build_change(f"c{self.number}", max(0, self.newest - behind))
+            self.changes[change.change_id] = change
+            self.offer(change)
+
+    @precondition(lambda self: self.replicas is not None and self.changes)
+    @rule(data=st.data())
+    def resend(self, data):
+        """An operator that lost the answer sends the same change again."""
+        self.offer(self.changes[data.draw(st.sampled_from(sorted(self.changes)))])
+
+    def offer(self, change):
+        self.invoked_after.setdefault(change.change_id, self.newest)
+        for name in self.replicas.leaders():
+            result = self.replicas.propose(name, change)
+            if result is not None:
+                self.check(result)
+        self.collect()
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(number=st.integers(0, 4), after_sync=st.booleans())
+    def crash(self, number, after_sync):
+        name = self.pick(number)
+        if name in self.replicas.running:
+            consensus.tick(self.replicas.running[name], self.replicas.now)
+            self.replicas.carry_out(name, crash=after_sync)
+            self.replicas.crash(name)
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(number=st.integers(0, 4))
+    def restart(self, number):
+        name = self.pick(number)
+        if name not in self.replicas.running:
+            self.replicas.restart(name)
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(number=st.integers(0, 4))
+    def lose_disk(self, number):
+        """A disk is lost while all others hold theirs: the next one after the repair."""
+        name = self.pick(number)
+        others = [other for other in self.replicas.names if other != name]
+        if all(map(self.replicas.is_whole, others)):
+            self.replicas.lose_disk(name)
+            self.replicas.restart(name)
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(number=st.integers(0, 4), size=st.integers(1, 2))
+    def cut(self, number, size):
+        names = self.replicas.names
+        start = number % len(names)
+        group = (names + names)[start : start + size]
+        self.replicas.network.cut(group, [name for name in names if name not in group])
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule()
+    def heal(self):
+        self.replicas.network.heal()
+
+    @precondition(lambda self: self.replicas is not None)
+    @rule(number=st.integers(0, 4))
+    def freeze_or_thaw(self, number):
+        name = self.pick(number)
+        if name in self.replicas.running:
+            self.replicas.frozen ^= {name}
+
+    def pick(self, number):
+        return self.replicas.names[number % len(self.replicas.names)]
+
+    def collect(self):
+        for _, result in self.replicas.results[self.seen_results :]:
+            self.check(result)
+        self.seen_results = len(self.replicas.results)
+
+    def check(self, result):
+        """Compare an answer with all answers before it."""
+        answer = (result.outcome, result.revision)
+        known = self.answers.setdefault(result.change_id, answer)
+        assert known == answer, f"{result.change_id}: {known}, then {answer}"
+        if result.outcome == Outcome.ACCEPTED:
+            winner = self.winners.setdefault(result.revision, result.change_id)
+            assert winner == result.change_id, f"revision {result.revision} accepted twice"
+            assert result.revision > self.invoked_after[result.change_id]
+            self.newest = max(self.newest, result.revision)
+        else:
+            assert result.revision >= self.invoked_after[result.change_id]
+
+    @invariant()
+    def one_leader_each_term(self):
+        if self.replicas is None:
+            return
+        terms = [
+            replica.hard.term
+            for replica in self.replicas.running.values()
+            if replica.role is Role.LEADER
+        ]
+        assert len(terms) == len(set(terms))
+
+    def teardown(self):
+        """Everything accepted is there when the faults end, and changes go on."""
+        if self.replicas is None:
+            return
+        self.replicas.recover_all()
+        assert self.replicas.run_until(self.replicas.is_settled)
+        self.collect()
+        final = build_change("final", self.newest)
+        self.changes["final"] = final
+        self.offer(final)
+        done = self.replicas.run_until(lambda: self.all_applied("final"))
+        assert done
+        self.collect()
+        for replica in self.replicas.running.values():
+            for revision, winner in self.winners.items():
+                acceptance = replica.machine.acceptances[revision]
+                assert acceptance.change_id == winner
+            for change_id, answer in self.answers.items():
+                result = replica.machine.results[change_id]
+                assert (result.outcome, result.revision) == answer
+
+    def all_applied(self, change_id):
+        running = self.replicas.running.values()
+        return all(change_id in replica.machine.results for replica in running)
+
+
+TestAcceptedConfiguration = AcceptedConfiguration.TestCase
+
+
+def settle(count=3, seed=1):
+    """Return replicas with a leader."""
+    replicas = Replicas(count, random.Random(seed))
+    assert replicas.run_until(replicas.is_settled)
+    return replicas
+
+
+def accept(replicas, change_id, base):
+    """Have a change accepted, whoever leads; return its result."""
+    change = build_change(change_id, base)
+    start = len(replicas.results)
+
+    def find():
+        found = [r for _, r in replicas.results[start:] if r.change_id == change_id]
+        return found[0] if found else None
+
+    for _ in range(40):
+        for name in replicas.leaders():
+            known = replicas.propose(name, change)
+            if known is not None:
+                return known
+        if replicas.run_until(lambda: find() is not None, 20):
+            return find()
+    raise AssertionError("not accepted")
+
+
+class TestOperators:
+    """Races and resends of operators."""
+
+    def test_second_of_two_equal_bases_is_told_the_winner(self):
+        replicas = settle()
+        assert accept(replicas, "first", 0).outcome == Outcome.ACCEPTED
+        lost = accept(replicas, "second", 0)
+        assert lost.outcome == Outcome.CONFLICT
+        assert lost.winner == "first by student"
+
+    def test_same_id_gets_same_answer_after_restarts_and_snapshots(self):
+        replicas = settle()
+        first = accept(replicas, "c0", 0)
+        for number in range(1, 300):
+            accept(replicas, f"c{number}", number)
+        for name in replicas.names:
+            replicas.crash(name)
+            replicas.restart(name)
+        assert replicas.run_until(replicas.is_settled)
+        assert replicas.running["r1"].log.snapshot.index > 0
+        assert accept(replicas, "c0", 7) == first
+
+
+class TestIsolatedLeader:
+    """A leader that is cut off for a long time, and comes back."""
+
+    def test_accepts_nothing_after_its_lease(self):
+        replicas = settle()
+        (leader,) = replicas.leaders()
+        others = [name for name in replicas.names if name != leader]
+        replicas.network.cut([leader], others)
+        for _ in range(20):
+            replicas.step()
+        assert not consensus.can_propose(replicas.running[leader], replicas.now)
+        assert replicas.run_until(lambda: any(n in others for n in replicas.leaders()))
+        accept(replicas, "while-cut", 0)
+        for _ in range(1000):
+            replicas.step()
+        replicas.network.heal()
+        assert replicas.run_until(
+            lambda: "while-cut" in replicas.running[leader].machine.results
+        )
+
+    def test_frozen_leader_does_not_lead_on(self):
+        replicas = settle()
+        (leader,) = replicas.leaders()
+        replicas.frozen.add(leader)
+        for _ in range(100):
+            replicas.step()
+        replicas.frozen.clear()
+        assert not consensus.can_propose(replicas.running[leader], replicas.now)
+
+
+class TestLostDisks:
+    """Replicas that come back without a disk."""
+
+    def test_second_disk_lost_right_after_the_first_is_repaired(self):
+        replicas = settle()
+        (leader,) = replicas.leaders()
+        follower, lagging = [name for name in replicas.names if name != leader]
+        replicas.network.cut([lagging], [leader, follower])
+        accept(replicas, "accepted", 0)
+        replicas.network.heal()
+        replicas.lose_disk(follower)
+        replicas.restart(follower)
+        assert replicas.run_until(lambda: replicas.is_whole(follower))
+        replicas.lose_disk(leader)
+        replicas.restart(leader)
+        assert replicas.run_until(replicas.is_settled)
+        for replica in replicas.running.values():
+            assert "accepted" in replica.machine.results
+
+    def test_is_readmitted_only_when_it_holds_all_that_was_accepted(self):
+        replicas = settle()
+        for number in range(200):
+            accept(replicas, f"c{number}", number)
+        (leader,) = replicas.leaders()
+        follower = next(name for name in replicas.names if name != leader)
+        accepted = replicas.running[leader].commit
+        replicas.lose_disk(follower)
+        replicas.restart(follower)
+        assert replicas.run_until(lambda: replicas.is_whole(follower))
+        assert replicas.running[follower].log.last_index() >= accepted
+
+    def test_recovering_replica_grants_no_vote(self):
+        replicas = settle()
+        (leader,) = replicas.leaders()
+        follower, other = [name for name in replicas.names if name != leader]
+        replicas.crash(leader)
+        replicas.lose_disk(follower)
+        replicas.restart(follower)
+        for _ in range(200):
+            replicas.step()
+        assert replicas.leaders() == []
+
+    def test_all_blank_start_a_log(self):
+        assert settle(5).is_settled()
+
+
+class TestVotes:
+    """Votes outlive restarts."""
+
+    def test_one_vote_a_term_through_a_crash(self):
+        replicas = settle()
+        (leader,) = replicas.leaders()
+        voter, one = [name for name in replicas.names if name != leader]
+        term = replicas.running[voter].hard.term + 1
+        request = VoteRequest(term, last_index=99, last_term=99)
+        for candidate, granted in ((one, True), (leader, False)):
+            consensus.handle(replicas.running[voter], candidate, request, replicas.now)
+            (answer,) = [m for _, m in replicas.running[voter].effects.sends]
+            assert answer == Vote(term, granted, False)
+            replicas.carry_out(voter, crash=True)
+            replicas.restart(voter)
+
+
+class TestMembers:
+    """Changes of the set of replicas."""
+
+    def test_one_at_a_time(self):
+        replicas = settle(5)
+        (leader,) = replicas.leaders()
+        replica = replicas.running[leader]
+        members = [name for name in replicas.names if name != leader][:3]
+        assert "one at a time" in consensus.propose_members(replica, members, replicas.now)
+
+    def test_removed_and_added_again(self):
+        replicas = settle(3)
+        (leader,) = replicas.leaders()
+        gone = next(name for name in replicas.names if name != leader)
+        members = [name for name in replicas.names if name != gone]
+        replicas.run_until(lambda: False, 10)
+        replica = replicas.running[leader]
+        assert consensus.propose_members(replica, members, replicas.now) == ""
+        replicas.carry_out(leader)
+        replicas.crash(gone)
+        accept(replicas, "by-two", 0)
+        assert consensus.propose_members(replica, replicas.names, replicas.now) == ""
+        replicas.carry_out(leader)
+        replicas.lose_disk(gone)
+        replicas.restart(gone)
+        assert replicas.run_until(lambda: "by-two" in replicas.running[gone].machine.results)
+        assert replicas.run_until(lambda: replicas.is_whole(gone))
--- /dev/null
+++ b/lycheevalve/tests/test_flows.py
@@ -0,0 +1,308 @@
+"""Flows through joins, leaves, deaths, freezes and drains."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import precondition, rule
+
+from lycheevalve.flows.keys import SHARD_MASK, flow_key
+from lycheevalve.tests.fakes.machines import SERVICES, SiteMachine
+from lycheevalve.tests.fakes.proxy import build_header
+from lycheevalve.tests.fakes.site import DOORS, Site
+from lycheevalve.utils.addresses import parse_address
+
+# From the order to the last new work that a drained upstream may get.
+DRAIN_SECONDS = 3.0
+
+
+class Sessions:
+    """Sessions of callers, and the upstreams that answered each."""
+
+    def __init__(self, site):
+        self.site = site
+        self.servers = {}
+        self.read = len(site.answers)
+
+    def open(self, caller, service, packets=3):
+        """Open a session and have it answered."""
+        self.servers[caller, service] = set()
+        for _ in range(packets):
+            self.speak(caller, service)
+            self.site.run(0.15)
+
+    def speak(self, caller, service):
+        """Send the next packet of a session at a random instance."""
+        payload = f"{caller[0]}/{service}|x".encode()
+        self.site.send(caller, service, "stream", payload)
+
+    def collect(self):
+        """Note who answered, and that each answer is its caller's own."""
+        for _, caller, door, payload in self.site.answers[self.read :]:
+            name, _, server = payload.decode().split("|")
+            service = name.split("/")[1]
+            assert name == f"{caller[0]}/{service}", "an answer of another caller"
+            assert door == parse_address(DOORS[service, "stream"])
+            self.servers[caller, service].add(server)
+        self.read = len(self.site.answers)
+
+    def broken(self):
+        """Return the sessions that more than one upstream has served."""
+        self.collect()
+        return [session for session, servers in self.servers.items() if len(servers) > 1]
+
+
+class FlowMachine(SiteMachine):
+    """Sessions that are opened and speak while the site changes."""
+
+    def started(self):
+        self.sessions = Sessions(self.site)
+
+    @precondition(SiteMachine.is_started)
+    @rule(service=st.sampled_from(SERVICES), count=st.integers(1, 5))
+    def open_sessions(self, service, count):
+        for _ in range(count):
+            self.sessions.open(self.next_caller(), service)
+
+    @precondition(SiteMachine.is_started)
+    @rule(share=st.floats(0.1, 1.0), packets=st.integers(1, 3))
+    def speak(self, share, packets):
+        for session in list(self.sessions.servers):
+            if self.site.random.random() < share:
+                for _ in range(packets):
+                    self.sessions.speak(*session)
+        self.site.run(0.3)
+
+    def all_speak(self):
+        """Let all sessions speak once more."""
+        for session in self.sessions.servers:
+            self.sessions.speak(*session)
+        self.site.run(1.0)
+
+
+class PlannedChanges(FlowMachine):
+    """Oracle: an established flow's packets reach one upstream, whatever is planned."""
+
+    @precondition(SiteMachine.is_started)
+    @rule()
+    def check_sessions(self):
+        self.all_speak()
+        assert self.sessions.broken() == []
+
+    def teardown(self):
+        if self.site is not None:
+            self.check_sessions()
+
+
+class Failures(FlowMachine):
+    """Oracle: whatever fails, no packet and no answer goes astray."""
+
+    network = {"loss": 0.02, "duplication": 0.02}
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def kill(self, number):
+        name = self.site.names[number % len(self.site.names)]
+        if len(set(self.site.running) - self.site.frozen - self.site.leaving) > 2:
+            self.site.kill(name)
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def freeze_or_thaw(self, number):
+        name = self.site.names[number % len(self.site.names)]
+        live = set(self.site.running) - self.site.frozen - self.site.leaving
+        if name in self.site.frozen or (name in live and len(live) > 2):
+            self.site.frozen ^= {name}
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def cut_or_heal(self, number):
+        network = self.site.network
+        if network.cuts:
+            network.heal()
+        else:
+            name = self.site.names[number % len(self.site.names)]
+            network.cut([name], [other for other in self.site.names if other != name])
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4), service=st.sampled_from(SERVICES))
+    def upstream_returns_as_another_service(self, number, service):
+        list(self.site.upstreams.values())[number].change_service(service, self.site.now)
+
+    @precondition(SiteMachine.is_started)
+    @rule()
+    def check_answers(self):
+        self.all_speak()
+        self.sessions.collect()
+
+
+TestPlannedChanges = PlannedChanges.TestCase
+TestFailures = Failures.TestCase
+
+
+def open_sessions(site, count, service="nightsync"):
+    """Return Sessions with `count` established ones."""
+    sessions = Sessions(site)
+    callers = [(f"10.6.{n // 250}.{n % 250 + 1}", 5000) for n in range(count)]
+    for caller in callers:
+        sessions.servers[caller, service] = set()
+    for _ in range(3):
+        for caller in callers:
+            sessions.speak(caller, service)
+        site.run(0.3)
+    sessions.collect()
+    assert all(len(servers) == 1 for servers in sessions.servers.values())
+    return sessions
+
+
+def speak_all(site, sessions):
+    """Let every session speak, and return the broken ones."""
+    for session in sessions.servers:
+        sessions.speak(*session)
+    site.run(1.0)
+    return sessions.broken()
+
+
+class TestDeaths:
+    """Deaths of instances, and the bound on what they break."""
+
+    def test_kill_breaks_nothing_once_the_copies_are_made(self):
+        site = Site(5)
+        site.settle()
+        sessions = open_sessions(site, 200)
+        site.configure(drained=["10.1.0.1:7300"])
+        site.run(4.0)
+        site.kill("a2")
+        site.run(2.0)
+        assert speak_all(site, sessions) == []
+
+    def test_owner_dies_while_handing_over(self):
+        """What was not handed over goes by the rule: only pins off it can break."""
+        site = Site(6)
+        site.settle()
+        sessions = open_sessions(site, 200)
+        site.configure(drained=["10.1.0.1:7300"])
+        site.run(4.0)
+        site.stop("a1")
+        site.run(0.1)
+        site.kill("a1")
+        site.run(2.0)
+        assert speak_all(site, sessions) == []
+
+
+class TestSlowHandover:
+    """A handover that takes longer than the next packets."""
+
+    def test_new_owner_asks_for_what_has_not_come_yet(self):
+        site = Site(13)
+        site.settle()
+        sessions = open_sessions(site, 200)
+        site.configure(drained=["10.1.0.1:7300"])
+        site.run(4.0)
+        budget = site.running["a3"].transitions.handover.budget
+        budget.rate, budget.level = 100.0, 0.0
+        site.stop("a3")
+        site.run(0.5)
+        assert speak_all(site, sessions) == []
+
+
+class TestDisagreement:
+    """Instances that hold different views."""
+
+    def test_two_instances_disagree_about_an_owner(self):
+        site = Site(7)
+        site.settle()
+        sessions = open_sessions(site, 60)
+        site.network.cut(["a1"], ["a2"])
+        for _ in range(10):
+            for session in sessions.servers:
+                sessions.speak(*session)
+            site.run(0.5)
+        site.network.heal()
+        site.run(3.0)
+        assert speak_all(site, sessions) == []
+
+
+class TestIdleFlows:
+    """Flows that fall silent and speak again."""
+
+    def test_silent_for_an_hour_through_a_rolling_restart(self):
+        site = Site(8)
+        site.settle()
+        sessions = open_sessions(site, 100)
+        site.configure(drained=["10.1.0.2:7300"])
+        for name in site.names:
+            site.stop(name)
+            while name in site.running:
+                site.run(0.5)
+            site.start(name)
+            site.run(3.0)
+        site.run(60.0)
+        for instance in site.running.values():
+            instance.keep_house(site.now + 3600)
+        assert speak_all(site, sessions) == []
+
+
+class TestChangedService:
+    """An upstream that returns with the same address and another service."""
+
+    def test_old_flows_never_meet_the_new_service(self):
+        site = Site(9)
+        site.settle()
+        sessions = open_sessions(site, 60)
+        changed = next(iter(site.upstreams.values()))
+        changed.change_service("restreport", site.now)
+        for _ in range(60):
+            for session in sessions.servers:
+                sessions.speak(*session)
+            site.run(0.2)
+        assert site.misrouted() == []
+        new = open_sessions(site, 40, "restreport")
+        served = {server for servers in new.servers.values() for server in servers}
+        assert changed.address in served
+
+    def test_answer_with_a_foreign_front_door_is_dropped(self):
+        site = Site(10)
+        site.settle()
+        upstream = next(iter(site.upstreams))
+        door = parse_address(DOORS["restreport", "stream"])
+        datagram = build_header(("10.5.0.1", 5000), door) + b"stray"
+        instance = site.running["a1"]
+        instance.handle_datagram(datagram, upstream, site.now)
+        assert instance.datagrams == []
+        assert instance.counters["foreign_answers"] == 1
+
+
+class TestCollidingKeys:
+    """Flows whose keys collide."""
+
+    def test_a_pin_of_another_service_is_not_used(self):
+        site = Site(11)
+        site.settle()
+        caller = ("10.5.0.1", 5000)
+        door = parse_address(DOORS["restreport", "stream"])
+        endpoints = build_header(caller, door)[16:28]
+        key = flow_key(endpoints)
+        owner = site.running[site.running["a1"].transitions.owner(key & SHARD_MASK)]
+        foreign = owner.upstreams.by_address[next(iter(site.upstreams))]
+        assert foreign.service == "nightsync"
+        owner.pins.put(key, foreign.index, int(site.now))
+        site.send(caller, "restreport", "stream", b"x")
+        site.run(0.5)
+        assert site.misrouted() == []
+        assert len(site.answers_to(caller)) == 1
+
+
+class TestDrain:
+    """Operators' drains."""
+
+    def test_no_new_flow_after_three_seconds_and_old_ones_stay(self):
+        site = Site(12)
+        site.settle()
+        sessions = open_sessions(site, 90)
+        drained = next(iter(site.upstreams.values()))
+        assert drained.new_work
+        site.configure(drained=[drained.address])
+        ordered_at = site.now
+        for number in range(60):
+            sessions.open((f"10.7.0.{number + 1}", 5000), "nightsync", packets=1)
+        assert all(at <= ordered_at + DRAIN_SECONDS for at in drained.new_work)
+        assert site.now > ordered_at + DRAIN_SECONDS
+        assert speak_all(site, sessions) == []
--- /dev/null
+++ b/lycheevalve/tests/test_processes.py
@@ -0,0 +1,171 @@
+"""Real processes: kills, freezes, lost data folders, races, bad input."""
+
+import json
+import shutil
+import signal
+import socket
+import time
+
+import pytest
+
+from bench.deployment import Deployment
+from lycheevalve.utils.addresses import parse_address
+
+# A test that waits longer than this has failed; nothing is judged by speed.
+PATIENCE_SECONDS = 60.0
+PORTS = iter(range(21000, 30000, 500))
+
+
+def wait_for(condition):
+    """Wait until `condition()` returns something true; return that."""
+    end = time.monotonic() + PATIENCE_SECONDS
+    while time.monotonic() < end:
+        result = condition()
+        if result:
+            return result
+        time.sleep(0.1)
+    raise AssertionError("it did not come about")
+
+
+@pytest.fixture
+def site(tmp_path):
+    """Start four instances, three of them replicas, with a configuration in force."""
+    deployment = Deployment("lagos", tmp_path, next(PORTS), instances=4)
+    deployment.write_files()
+    for name in deployment.instance_names():
+        deployment.start_instance(name)
+    try:
+        wait_for(lambda: apply(deployment).returncode == 0)
+        yield deployment
+    finally:
+        deployment.stop_all()
+
+
+def apply(site, *options):
+    """Apply the site's files and wait for them to be in force."""
+    files = site.folder / "base.toml", site.folder / "overlay.toml"
+    return site.command("apply", *files, "--wait", 30, "--json", *options)
+
+
+def status(site):
+    """Return the status of the site, or None when nobody answers."""
+    done = site.command("status", site.folder / "overlay.toml", "--json")
+    return json.loads(done.stdout) if done.returncode == 0 else None
+
+
+def role_of(site, name):
+    """Return the role of a replica, as it says itself."""
+    now = status(site)
+    roles = {entry["name"]: entry["role"] for entry in now["instances"]} if now else {}
+    return roles.get(name, "")
+
+
+def leader(site):
+    """Return the name of the leading replica."""
+    return wait_for(
+        lambda: next((n for n in ["a1", "a2", "a3"] if role_of(site, n) == "leader"), "")
+    )
+
+
+def change(site, deadline_ms):
+    """Apply another deadline; return the accepted revision."""
+    site.write_overlay(deadline_ms)
+    done = wait_for(lambda: (d := apply(site)).returncode == 0 and d)
+    return json.loads(done.stdout)["accepted_revision"]
+
+
+def in_force(site, revision):
+    """Return whether all data centres apply `revision`."""
+    now = status(site)
+    return now is not None and set(now["in_force"].values()) == {revision}
+
+
+class TestReplicas:
+    """The replicated log over real processes and files."""
+
+    def test_killed_leader_frozen_leader_and_lost_disks(self, site):
+        first = leader(site)
+        site.kill(first)
+        revision = change(site, 7000)
+        site.start_instance(first)
+        wait_for(lambda: in_force(site, revision))
+
+        frozen = leader(site)
+        site.signal(frozen, signal.SIGSTOP)
+        wait_for(lambda: role_of(site, frozen) != "leader")
+        site.write_overlay(6000)
+        files = site.folder / "base.toml", site.folder / "overlay.toml"
+        accepted = wait_for(lambda: (d := site.command("apply", *files, "--json")).stdout)
+        revision = json.loads(accepted)["accepted_revision"]
+        site.signal(frozen, signal.SIGCONT)
+        wait_for(lambda: in_force(site, revision))
+
+        for name in ("a1", "a2"):
+            site.kill(name)
+            shutil.rmtree(site.folder / f"data-{name}")
+            site.start_instance(name)
+            wait_for(lambda name=name: role_of(site, name) in ("follower", "leader"))
+        wait_for(lambda: in_force(site, revision))
+        assert change(site, 5000) == revision + 1
+
+    def test_racing_operators_and_a_resend(self, site):
+        base = status(site)["accepted_revision"]
+        site.write_overlay(7100)
+        assert apply(site, "--revision", base, "--change-id", "one").returncode == 0
+        site.write_overlay(7200)
+        lost = apply(site, "--revision", base, "--change-id", "two")
+        assert lost.returncode == 3
+        assert "one by" in lost.stderr
+        again = apply(site, "--revision", base, "--change-id", "one")
+        assert json.loads(again.stdout)["accepted_revision"] == base + 1
+
+    def test_no_quorum_is_said(self, site):
+        for name in ("a1", "a2"):
+            site.kill(name)
+        done = apply(site, "--revision", 1)
+        assert done.returncode == 4
+        assert "propose" in done.stderr or "connect" in done.stderr
+
+
+class TestBadInput:
+    """Bytes of strangers to a running process."""
+
+    def test_process_goes_on(self, site):
+        address = parse_address(site.instance_address("a4"))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            for data in (b"", b"L", b"L\x01\x01\x05" + bytes(60), b"R\x00", bytes(60_000)):
+                udp.sendto(data, address)
+        for data in (
+            b"\xff\xff\xff\xff",
+            b"\x00\x00\x00\x10" + bytes(16),
+            b"GET / HTTP/1.1\r\n\r\n",
+        ):
+            with socket.create_connection(address) as tcp:
+                tcp.sendall(data)
+        assert change(site, 7300) == 2
+        assert site.processes["a4"].poll() is None
+
+    def test_wrong_settings_end_with_all_errors(self, site):
+        path = site.folder / "a4.toml"
+        path.write_text(path.read_text().replace("fabric", "fabrik") + "stop_seconds = 0\n")
+        site.kill("a4")
+        (site.folder / "a4.out").unlink()
+        site.start_instance("a4")
+        assert site.processes["a4"].wait(PATIENCE_SECONDS) == 2
+        output = (site.folder / "a4.out").read_text()
+        assert "fabrik" in output and "stop_seconds" in output
+
+    def test_wrong_key_is_refused(self, site):
+        (site.folder / "site.key").write_text("another key, not the site's")
+        done = site.command("status", site.folder / "overlay.toml")
+        assert done.returncode == 4
+
+
+class TestStop:
+    """The graceful stop."""
+
+    def test_ends_by_itself_with_zero(self, site):
+        site.signal("a4", signal.SIGTERM)
+        assert site.processes["a4"].wait(PATIENCE_SECONDS) == 0
+        states = {e["name"]: e["state"] for e in status(site)["instances"]}
+        assert states["a4"].startswith("left")
--- /dev/null
+++ b/lycheevalve/tests/test_requests.py
@@ -0,0 +1,356 @@
+"""Requests through retransmission, owner changes, shedding, silence and deaths."""
+
+import collections
+
+from aiocoap.numbers import codes, types
+from hypothesis import strategies as st
+from hypothesis.stateful import precondition, rule
+
+from lycheevalve.flows import coap
+from lycheevalve.tests.fakes.machines import SiteMachine
+from lycheevalve.tests.fakes.site import Site
+
+DEADLINE_SECONDS = 4.0
+
+
+def build_request(caller, number, code=codes.POST, deadline_ms=None, block2=None):
+    """Return (name, bytes) of a caller's request; the name is its payload."""
+    name = f"{caller[0]}:{caller[1]}/{number}".encode()
+    message = coap.Message(
+        _mtype=types.CON,
+        _mid=number,
+        _token=number.to_bytes(2, "big"),
+        code=code,
+        uri_path=("uploads",),
+        payload=name,
+    )
+    if block2 is not None:
+        message.opt.block2 = block2
+    if deadline_ms is not None:
+        coap.set_deadline(message, deadline_ms)
+    return name, message.encode()
+
+
+class Ledger:
+    """What callers asked and were told, beside what the upstreams ran."""
+
+    def __init__(self, site):
+        self.site = site
+        self.asked = {}
+        self.told = {}
+        self.read = 0
+
+    def ask(self, caller, number, code=codes.POST, **options):
+        """Send a request for the first time; return its name."""
+        name, data = build_request(caller, number, code, **options)
+        self.asked[name] = (caller, number, data, code)
+        self.repeat(name)
+        return name
+
+    def repeat(self, name):
+        """Send a request, as its caller does until it is answered."""
+        caller, _, data, _ = self.asked[name]
+        self.site.send(caller, "nightsync", "request", data)
+
+    def runs(self):
+        """Return how often each request ran, over all upstreams."""
+        return sum((u.runs for u in self.site.upstreams.values()), collections.Counter())
+
+    def check(self):
+        """
+        Compare what callers were told with what ran.
+
+        Non-idempotent work ran at most once; what was said not to run did not;
+        what was answered is the caller's own answer.
+        """
+        names = {(caller, number): name for name, (caller, number, *_) in self.asked.items()}
+        for _, caller, _, payload in self.site.answers[self.read :]:
+            message = coap.decode_message(payload)
+            name = names[caller, message.mid]
+            assert message.token == self.asked[name][1].to_bytes(2, "big")
+            self.told.setdefault(name, []).append(message.code)
+            if message.code == codes.CHANGED:
+                assert message.payload == name
+        self.read = len(self.site.answers)
+        runs = self.runs()
+        for name, (_, _, _, code) in self.asked.items():
+            if code != codes.POST:
+                continue
+            assert runs[name] <= 1, f"{name} ran {runs[name]} times"
+            if codes.SERVICE_UNAVAILABLE in self.told.get(name, ()):
+                assert runs[name] == 0, f"{name} was said not to have run"
+            if codes.CHANGED in self.told.get(name, ()):
+                assert runs[name] == 1
+
+
+class RequestMachine(SiteMachine):
+    """Callers that ask, repeat and give up, while everything fails."""
+
+    network = {"loss": 0.03, "duplication": 0.05}
+
+    def started(self):
+        self.ledger = Ledger(self.site)
+        self.number = 0
+
+    @precondition(SiteMachine.is_started)
+    @rule(count=st.integers(1, 6), idempotent=st.booleans())
+    def ask(self, count, idempotent):
+        for _ in range(count):
+            self.number += 1
+            code = codes.PUT if idempotent else codes.POST
+            self.ledger.ask(self.next_caller(), self.number, code)
+
+    @precondition(SiteMachine.is_started)
+    @rule(copies=st.integers(1, 3))
+    def retransmit(self, copies):
+        for name in list(self.ledger.asked)[-12:]:
+            for _ in range(copies):
+                self.ledger.repeat(name)
+        self.site.run(0.05)
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 2), mode=st.sampled_from(["run", "shed", "swallow"]))
+    def change_upstream(self, number, mode):
+        list(self.site.upstreams.values())[number].mode = mode
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 2), delay=st.sampled_from([0.02, 0.5, 3.0]))
+    def slow_upstream(self, number, delay):
+        list(self.site.upstreams.values())[number].delay = delay
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def kill(self, number):
+        name = self.site.names[number % len(self.site.names)]
+        if len(set(self.site.running) - self.site.frozen - self.site.leaving) > 2:
+            self.site.kill(name)
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def freeze_or_thaw(self, number):
+        name = self.site.names[number % len(self.site.names)]
+        live = set(self.site.running) - self.site.frozen - self.site.leaving
+        if name in self.site.frozen or (name in live and len(live) > 2):
+            self.site.frozen ^= {name}
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def cut_or_heal(self, number):
+        network = self.site.network
+        if network.cuts:
+            network.heal()
+        else:
+            name = self.site.names[number % len(self.site.names)]
+            network.cut([name], [other for other in self.site.names if other != name])
+
+    @precondition(SiteMachine.is_started)
+    @rule()
+    def check_ledger(self):
+        self.ledger.check()
+
+    def teardown(self):
+        if self.site is not None:
+            self.site.run(DEADLINE_SECONDS + 1.0)
+            self.ledger.check()
+
+
+TestRequests = RequestMachine.TestCase
+
+
+def start(seed, **options):
+    """Return a settled site and its ledger."""
+    site = Site(seed, **options)
+    site.settle()
+    return site, Ledger(site)
+
+
+def answer_codes(site, caller):
+    """Return the codes of a caller's answers."""
+    return [coap.decode_message(payload).code for payload in site.answers_to(caller)]
+
+
+class TestDuplicates:
+    """Retransmissions of one request."""
+
+    def test_all_get_the_one_answer(self):
+        site, ledger = start(1)
+        caller = ("10.5.0.1", 5000)
+        name = ledger.ask(caller, 7)
+        for _ in range(5):
+            ledger.repeat(name)
+        site.run(0.5)
+        ledger.repeat(name)
+        site.run(0.5)
+        assert ledger.runs()[name] == 1
+        assert set(answer_codes(site, caller)) == {codes.CHANGED}
+        ledger.check()
+
+    def test_duplicate_follows_the_first_through_a_graceful_stop(self):
+        site, ledger = start(2)
+        for upstream in site.upstreams.values():
+            upstream.delay = 1.5
+        caller = ("10.5.0.1", 5000)
+        name = ledger.ask(caller, 7)
+        site.run(0.2)
+        owner = next(n for n in site.names if site.running[n].requests.unfinished())
+        site.stop(owner)
+        site.run(0.5)
+        ledger.repeat(name)
+        site.run(3.0)
+        assert ledger.runs()[name] == 1
+        assert set(answer_codes(site, caller)) == {codes.CHANGED}
+
+    def test_duplicate_after_the_owner_died_is_unknown(self):
+        site, ledger = start(3)
+        for upstream in site.upstreams.values():
+            upstream.delay = 30.0
+        caller = ("10.5.0.1", 5000)
+        name = ledger.ask(caller, 7)
+        site.run(0.2)
+        owner = next(n for n in site.names if site.running[n].requests.unfinished())
+        site.kill(owner)
+        site.run(2.0)
+        ledger.repeat(name)
+        site.run(0.5)
+        assert ledger.runs()[name] == 1
+        assert answer_codes(site, caller) == [codes.GATEWAY_TIMEOUT]
+
+
+class TestGivingUp:
+    """Requests that are given up on get their final answer at once."""
+
+    def test_refusal_is_at_once_true_and_names_a_spread_time(self):
+        site, ledger = start(4)
+        for upstream in site.upstreams.values():
+            upstream.draining = True
+        site.run(2.0)
+        callers = [(f"10.5.1.{number + 1}", 5000) for number in range(60)]
+        asked_at = site.now
+        for number, caller in enumerate(callers):
+            ledger.ask(caller, number)
+        site.run(0.2)
+        times = set()
+        for at, _, _, payload in site.answers:
+            message = coap.decode_message(payload)
+            assert message.code == codes.SERVICE_UNAVAILABLE
+            assert at - asked_at < 0.2
+            times.add(message.opt.max_age)
+        assert len(site.answers) == 60
+        assert min(times) >= 1 and len(times) >= 3
+        ledger.check()
+        for upstream in site.upstreams.values():
+            upstream.draining = False
+        site.run(3.0)
+        for name in ledger.asked:
+            ledger.repeat(name)
+        site.run(1.0)
+        ledger.check()
+
+    def test_silence_is_unknown_long_before_the_deadline(self):
+        site, ledger = start(5)
+        for number in range(60):
+            ledger.ask((f"10.5.1.{number + 1}", 5000), number)
+            site.run(0.1)
+        for upstream in site.upstreams.values():
+            upstream.mode = "swallow"
+        caller = ("10.5.0.1", 5000)
+        ledger.ask(caller, 7)
+        site.run(DEADLINE_SECONDS / 2)
+        assert answer_codes(site, caller) == [codes.GATEWAY_TIMEOUT]
+        assert any(upstream.cancelled for upstream in site.upstreams.values())
+
+    def test_queued_request_is_refused_when_it_becomes_hopeless(self):
+        site, ledger = start(6, nightsync=1)
+        upstream = next(iter(site.upstreams.values()))
+        upstream.delay = 1.0
+        for number in range(40):
+            ledger.ask((f"10.5.1.{number + 1}", 5000), number, deadline_ms=1500)
+        site.run(2.0)
+        ledger.check()
+        assert len(ledger.told) == 40
+        kinds = {code for told in ledger.told.values() for code in told}
+        assert codes.SERVICE_UNAVAILABLE in kinds
+
+
+class TestRetries:
+    """Retries of idempotent and of shed requests."""
+
+    def test_idempotent_request_goes_to_another_upstream(self):
+        site, ledger = start(7)
+        for number in range(12):
+            next(iter(site.upstreams.values())).mode = "swallow"
+            ledger.ask((f"10.5.1.{number + 1}", 5000), number, codes.PUT)
+            site.run(0.05)
+        site.run(3.0)
+        told = [answer_codes(site, caller) for caller, *_ in ledger.asked.values()]
+        assert all(codes.CHANGED in codes_ for codes_ in told)
+
+    def test_extra_load_stays_within_a_tenth_when_all_fail(self):
+        """Each instance may also spend its burst of ten once."""
+        site, ledger = start(8)
+        for upstream in site.upstreams.values():
+            upstream.mode = "shed"
+        for number in range(1500):
+            ledger.ask((f"10.5.{number // 250}.{number % 250 + 1}", 5000), number)
+            if number % 20 == 0:
+                site.run(0.02)
+        site.run(1.0)
+        retried = sum(i.counters.get("retried", 0) for i in site.running.values())
+        assert 0 < retried <= 1500 * 0.1 + 10 * len(site.names)
+        ledger.check()
+
+
+class TestBlocks:
+    """Answers that come in blocks."""
+
+    def test_later_blocks_go_where_the_first_went(self):
+        site, ledger = start(9)
+        for start_number in range(0, 100, 10):
+            caller = (f"10.5.1.{start_number + 1}", 5000)
+            for block in range(4):
+                number = start_number + block
+                ledger.ask(caller, number, codes.GET, block2=(block, False, 4))
+                site.run(0.1)
+        runs = [set(u.runs) for u in site.upstreams.values()]
+        for start_number in range(0, 100, 10):
+            caller = f"10.5.1.{start_number + 1}:".encode()
+            served = [any(name.startswith(caller) for name in names) for names in runs]
+            assert sum(served) == 1
+
+    def test_blocks_of_a_lost_upstream_are_ended_clearly(self):
+        site, ledger = start(10)
+        caller = ("10.5.0.1", 5000)
+        ledger.ask(caller, 1, codes.GET, block2=(0, False, 4))
+        site.run(0.2)
+        for upstream in site.upstreams.values():
+            upstream.up = False
+        site.run(5.0)
+        ledger.ask(caller, 2, codes.GET, block2=(1, False, 4))
+        site.run(0.2)
+        assert answer_codes(site, caller)[-1] == codes.REQUEST_ENTITY_INCOMPLETE
+
+
+class TestDrain:
+    """Operators' drains."""
+
+    def test_no_new_request_after_three_seconds(self):
+        site, ledger = start(11)
+        drained = next(iter(site.upstreams.values()))
+        site.configure(drained=[drained.address])
+        ordered_at = site.now
+        for number in range(100):
+            ledger.ask((f"10.5.1.{number + 1}", 5000), number)
+            site.run(0.1)
+        assert all(at <= ordered_at + 3.0 for at in drained.new_work)
+
+
+class TestPing:
+    """CoAP pings."""
+
+    def test_ping_is_answered_with_a_reset(self):
+        site, _ = start(12)
+        ping = coap.Message(_mtype=types.CON, _mid=9, code=codes.EMPTY).encode()
+        site.send(("10.5.0.1", 5000), "nightsync", "request", ping)
+        site.run(0.2)
+        (payload,) = site.answers_to(("10.5.0.1", 5000))
+        assert coap.decode_message(payload).mtype is types.RST
--- /dev/null
+++ b/lycheevalve/tests/test_spreading.py
@@ -0,0 +1,148 @@
+"""Spreading of accepted configurations, cut-off data centres, restarts without a disk."""
+
+import attrs
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, precondition, rule
+
+from lycheevalve.tests.fakes.machines import SiteMachine
+from lycheevalve.tests.fakes.site import PLACES, Site
+
+IN_FORCE_SECONDS = 5.0
+
+
+class Revisions(SiteMachine):
+    """
+    Oracle: no instance name ever applies a lower revision than it did before.
+
+    Restarts without a memory count as the same instance; its neighbours in the
+    data centre stay.
+    """
+
+    network = {"loss": 0.1, "duplication": 0.1}
+
+    def started(self):
+        self.highest = {}
+
+    @precondition(SiteMachine.is_started)
+    @rule(count=st.integers(1, 3))
+    def change(self, count):
+        for _ in range(count):
+            self.site.configure()
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def restart_without_memory(self, number):
+        """Kill and start one instance while a neighbour that is settled stays."""
+        site = self.site
+        name = site.names[number % len(site.names)]
+        place = site.names.index(name) % 2
+        neighbours = [
+            other
+            for other in site.running
+            if other != name
+            and site.names.index(other) % 2 == place
+            and site.running[other].spreading.ready
+            and other not in site.leaving
+        ]
+        if neighbours and name in site.running and not site.network.cuts:
+            site.kill(name)
+            site.start(name)
+
+    @precondition(SiteMachine.is_started)
+    @rule()
+    def cut_data_centres(self):
+        names = self.site.names
+        self.site.network.cut(names[0::2], names[1::2])
+
+    @precondition(SiteMachine.is_started)
+    @rule()
+    def heal(self):
+        self.site.network.heal()
+
+    @invariant()
+    def revisions_only_grow(self):
+        if self.site is None:
+            return
+        for name, instance in self.site.running.items():
+            applied = instance.spreading.applied.revision
+            if not instance.spreading.ready:
+                continue
+            assert applied >= self.highest.get(name, 0) or applied == 0
+            self.highest[name] = max(applied, self.highest.get(name, 0))
+
+    def teardown(self):
+        """What was accepted is in force everywhere seconds after the faults end."""
+        if self.site is None:
+            return
+        self.site.network.heal()
+        self.site.network.loss = 0.0
+        self.site.run(IN_FORCE_SECONDS)
+        newest = max(i.spreading.held.revision for i in self.site.running.values())
+        for name in set(self.site.running) - self.site.leaving:
+            assert self.site.running[name].spreading.applied.revision == newest
+
+
+TestRevisions = Revisions.TestCase
+
+
+class TestCutDataCentre:
+    """A data centre that is cut off from the others."""
+
+    def test_serves_on_with_what_it_has_and_converges(self):
+        site = Site(1)
+        site.settle()
+        near = site.names[0::2]
+        far = site.names[1::2]
+        site.network.cut(near, far)
+        site.run(3.0)
+        caller = ("10.5.0.1", 5000)
+        for _ in range(3):
+            site.send(caller, "nightsync", "stream", b"x", instance=near[0])
+            site.run(0.5)
+        assert len(site.answers_to(caller)) >= 3
+        newer = attrs.evolve(site.configuration, revision=7)
+        site.running[far[0]].spreading.take_committed(newer, [], site.now)
+        site.run(3.0)
+        assert site.running[near[0]].spreading.applied.revision == 1
+        site.network.heal()
+        site.run(IN_FORCE_SECONDS)
+        assert all(i.spreading.applied.revision == 7 for i in site.running.values())
+
+    def test_takes_announcements_of_its_own_upstreams(self):
+        site = Site(2)
+        site.settle()
+        near = site.names[0::2]
+        site.network.cut(near, site.names[1::2])
+        site.run(5.0)
+        for name in near:
+            usable = site.running[name].upstreams.usable("nightsync", site.now)
+            assert len(usable) == 3
+        assert PLACES[0] == site.running[near[0]].settings.data_centre
+
+
+class TestRestartWithoutDisk:
+    """An instance that restarts with nothing."""
+
+    def test_is_not_ready_before_it_holds_what_its_neighbours_hold(self):
+        site = Site(3)
+        site.settle()
+        for _ in range(300):
+            site.configure()
+        site.run(2.0)
+        site.kill("a1")
+        site.start("a1")
+        assert not site.running["a1"].spreading.ready
+        site.run(2.0)
+        assert site.running["a1"].spreading.applied.revision == 301
+
+    def test_a_revision_is_applied_only_when_a_neighbour_holds_it(self):
+        site = Site(4)
+        site.settle()
+        site.network.cut(["a1"], site.names[1:])
+        newer = attrs.evolve(site.configuration, revision=9)
+        site.running["a1"].spreading.take_committed(newer, [], site.now)
+        site.run(0.5)
+        assert site.running["a1"].spreading.applied.revision == 1
+        site.network.heal()
+        site.run(2.0)
+        assert site.running["a1"].spreading.applied.revision == 9
--- /dev/null
+++ b/lycheevalve/tests/test_storage.py
@@ -0,0 +1,165 @@
+"""The disk of a replica: cuts, flipped bytes, full disks, failing syncs."""
+
+import random
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheevalve.coordination import consensus
+from lycheevalve.coordination.replica import Effects, Role
+from lycheevalve.coordination.storage import LOG_NAME, Storage
+from lycheevalve.exceptions import StorageError
+from lycheevalve.schema.generated.messages import Configuration, Entry, HardState, Snapshot
+from lycheevalve.tests.fakes.replicas import build_change
+
+
+def build_entries(first, last, term=1):
+    """Return entries with changes."""
+    return [Entry(i, term, 1, build_change(f"c{i}", i - 1)) for i in range(first, last + 1)]
+
+
+def fill(folder, count=4):
+    """Write a hard state and some entries, one sync each; return the sizes."""
+    storage = Storage(folder)
+    storage.load()
+    storage.write(Effects(hard_state=HardState(1, "r1", False, 5)))
+    sizes = []
+    for entry in build_entries(1, count):
+        storage.write(Effects(entries=[entry]))
+        sizes.append((folder / LOG_NAME).stat().st_size)
+    storage.close()
+    return sizes
+
+
+class TestTail:
+    """A log that ends inside its last record."""
+
+    def test_cut_at_every_byte_keeps_all_whole_records(self, tmp_path):
+        sizes = fill(tmp_path / "whole")
+        data = (tmp_path / "whole" / LOG_NAME).read_bytes()
+        for size in range(sizes[2], sizes[3] + 1):
+            folder = tmp_path / f"cut-{size}"
+            folder.mkdir()
+            (folder / LOG_NAME).write_bytes(data[:size])
+            stored = Storage(folder).load()
+            assert stored.damage == ""
+            assert len(stored.entries) == (4 if size == sizes[3] else 3)
+            assert stored.hard_state == HardState(1, "r1", False, 5)
+
+    def test_log_goes_on_after_a_cut(self, tmp_path):
+        sizes = fill(tmp_path)
+        data = (tmp_path / LOG_NAME).read_bytes()
+        (tmp_path / LOG_NAME).write_bytes(data[: sizes[3] - 3])
+        storage = Storage(tmp_path)
+        storage.load()
+        storage.write(Effects(entries=build_entries(4, 5, term=2)))
+        storage.close()
+        assert [e.term for e in Storage(tmp_path).load().entries] == [1, 1, 1, 2, 2]
+
+
+class TestDamage:
+    """Bytes that changed on the disk."""
+
+    def test_every_flipped_byte_is_found_and_named(self, tmp_path):
+        sizes = fill(tmp_path / "whole", 2)
+        data = (tmp_path / "whole" / LOG_NAME).read_bytes()
+        for position in range(sizes[1]):
+            folder = tmp_path / f"flip-{position}"
+            folder.mkdir()
+            flipped = bytearray(data)
+            flipped[position] ^= 0x40
+            (folder / LOG_NAME).write_bytes(flipped)
+            stored = Storage(folder).load()
+            assert stored.hard_state is None and stored.entries == []
+            assert "byte" in stored.damage and LOG_NAME in stored.damage
+            assert (folder / f"{LOG_NAME}.damaged").read_bytes() == bytes(flipped)
+
+    def test_damaged_replica_recovers_from_the_others(self, tmp_path):
+        fill(tmp_path)
+        data = bytearray((tmp_path / LOG_NAME).read_bytes())
+        data[40] ^= 1
+        (tmp_path / LOG_NAME).write_bytes(data)
+        stored = Storage(tmp_path).load()
+        replica = consensus.start_replica("r1", ["r1", "r2"], random.Random(1), stored, 0.0)
+        assert replica.role is Role.RECOVERING
+
+    def test_missing_log_beside_a_snapshot_is_damage(self, tmp_path):
+        storage = Storage(tmp_path)
+        storage.load()
+        snapshot = Snapshot(3, 1, ["r1"], Configuration(3))
+        storage.write(Effects(snapshot=snapshot, hard_state=HardState(1, "", False, 5)))
+        storage.close()
+        (tmp_path / LOG_NAME).unlink()
+        assert "missing" in Storage(tmp_path).load().damage
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_read_or_refused(self, data):
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / LOG_NAME).write_bytes(data)
+            stored = Storage(Path(folder)).load()
+            assert stored.damage or not stored.entries
+
+
+class TestFailingDisk:
+    """A disk that is full or does not sync."""
+
+    def test_failing_sync_is_an_error_with_step_and_folder(self, tmp_path):
+        def fail(_):
+            raise OSError("input/output error")
+
+        storage = Storage(tmp_path, sync=fail)
+        storage.load()
+        with pytest.raises(StorageError, match=f"write log, {tmp_path}"):
+            storage.write(Effects(entries=build_entries(1, 1)))
+
+    def test_full_disk_is_an_error(self, tmp_path):
+        storage = Storage(tmp_path)
+        storage.load()
+        storage.file.close()
+        with open("/dev/full", "wb", buffering=0) as full:
+            storage.file = full
+            with pytest.raises(StorageError, match="No space left"):
+                storage.write(Effects(entries=build_entries(1, 1)))
+
+    def test_unwritable_folder_is_an_error(self, tmp_path):
+        (tmp_path / "file").write_text("")
+        with pytest.raises(StorageError, match="open data folder"):
+            Storage(tmp_path / "file").load()
+
+
+class TestSnapshots:
+    """Snapshots and the log that follows them."""
+
+    def test_snapshot_replaces_entries(self, tmp_path):
+        fill(tmp_path)
+        storage = Storage(tmp_path)
+        storage.load()
+        snapshot = Snapshot(3, 1, ["r1"], Configuration(3))
+        storage.write(Effects(snapshot=snapshot))
+        storage.write(Effects(entries=build_entries(5, 5)))
+        storage.close()
+        stored = Storage(tmp_path).load()
+        assert stored.snapshot == snapshot
+        assert [entry.index for entry in stored.entries] == [4, 5]
+        assert stored.hard_state == HardState(1, "r1", False, 5)
+
+    def test_crash_between_snapshot_and_new_log_loses_nothing(self, tmp_path):
+        fill(tmp_path)
+        storage = Storage(tmp_path)
+        storage.load()
+        replace = storage.replace_file
+
+        def crash(name, data):
+            if name == LOG_NAME:
+                raise OSError("crash")
+            replace(name, data)
+
+        storage.replace_file = crash
+        with pytest.raises(StorageError):
+            storage.write(Effects(snapshot=Snapshot(3, 1, ["r1"], Configuration(3))))
+        stored = Storage(tmp_path).load()
+        assert stored.damage == ""
+        assert [entry.index for entry in stored.entries] == [4]
