--- /dev/null
+++ b/bench/fuzz.py
@@ -0,0 +1,64 @@
+"""Run all state machines with fresh seeds until the time is over."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+
+import fire
+
+MACHINES = (
+    "test_consensus.py::TestAcceptedConfiguration",
+    "test_flows.py::TestPlannedChanges",
+    "test_flows.py::TestFailures",
+    "test_requests.py::TestRequests",
+    "test_spreading.py::TestRevisions",
+    "test_inputs.py",
+    "test_storage.py::TestDamage",
+)
+
+
+def run_machine(test, seed):
+    """Return the JSON line of one run of a machine."""
+    command = [
+        sys.executable, "-m", "pytest", "-x", f"lycheevalve/tests/{test}",
+        f"--hypothesis-seed={seed}",
+    ]  # fmt: skip
+    environment = os.environ | {"LYCHEEVALVE_PROFILE": "fuzz"}
+    started = time.monotonic()
+    done = subprocess.run(command, env=environment, capture_output=True, text=True)
+    line = {
+        "test": test,
+        "seed": seed,
+        "passed": done.returncode == 0,
+        "seconds": round(time.monotonic() - started, 1),
+    }
+    if done.returncode:
+        line["repeat"] = "LYCHEEVALVE_PROFILE=fuzz " + " ".join(["python", *command[1:]])
+        line["output"] = done.stdout[-4000:]
+    return line
+
+
+def fuzz(minutes=10, seed=1):
+    """
+    Run the machines in turns, each round with the next seed, and print JSON lines.
+
+    A failed line has the command that repeats it.
+
+    Example: scripts/fuzz --minutes 10 --seed 7
+    """
+    end = time.monotonic() + minutes * 60
+    failed = runs = 0
+    while time.monotonic() < end:
+        test = MACHINES[runs % len(MACHINES)]
+        line = run_machine(test, seed + runs // len(MACHINES))
+        print(json.dumps(line), flush=True)
+        runs += 1
+        failed += not line["passed"]
+    print(json.dumps({"runs": runs, "failed": failed, "minutes": minutes, "seed": seed}))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(fuzz, serialize=lambda _: None)
--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,212 @@
+"""
+Broken flows, imbalance and late requests, for each policy and scenario.
+
+Drives the decisions without sockets in simulated time; every policy sees the
+same arrivals. Prints a JSON line for each site, scenario and policy.
+"""
+
+import json
+import math
+from multiprocessing import Pool
+
+import fire
+
+from bench.policies import POLICIES
+from bench.simulation import SIZES, Simulation
+
+FILL_SECONDS = 4.0
+RUN_SECONDS = 24.0
+PACKET_INTERVAL_SECONDS = 2.0
+MEAN_LIFETIME_SECONDS = 20.0
+# Requests offered, as a share of what all slots can do.
+REQUEST_LOAD = 0.6
+SAMPLE_STEPS = 25
+# Cost of one per cent of broken flows, imbalance, late and refused requests.
+WEIGHTS = {
+    "lagos": {"broken_flows": 10.0, "imbalance": 1.0, "late": 2.0, "refused": 1.0},
+    "hvelfing": {"broken_flows": 4.0, "imbalance": 4.0, "late": 4.0, "refused": 1.0},
+}
+PLANNED = ("steady", "heavy_tailed", "rolling_restart", "drains", "cold_start", "burst")
+
+
+def at(second, action):
+    """Return an event: what to do at a second of the run."""
+    return second, action
+
+
+def upstream(simulation, number):
+    """Return an upstream by number."""
+    return list(simulation.upstreams.values())[number]
+
+
+def set_fault(number, **values):
+    """Return an action that changes an upstream."""
+
+    def act(simulation):
+        for name, value in values.items():
+            setattr(upstream(simulation, number), name, value)
+
+    return act
+
+
+def set_report_age(simulation):
+    """Let all reports be five seconds old."""
+    for each in simulation.upstreams.values():
+        each.report_age = 5.0
+
+
+def drain(number):
+    """Return an action that drains one upstream, the former one no more."""
+    return lambda simulation: simulation.reconfigure([upstream(simulation, number).address])
+
+
+def cut(simulation):
+    """Let two groups of instances lose each other."""
+    simulation.network.cut(simulation.names[:4], simulation.names[4:])
+
+
+def restart(name):
+    """Return events of a graceful restart."""
+
+    def start(simulation):
+        if name in simulation.running:
+            simulation.kill(name)
+        simulation.start(name)
+
+    return lambda simulation: simulation.stop(name), start
+
+
+def rolling(names, every):
+    """Return the events of restarts one after another."""
+    events = []
+    for number, name in enumerate(names):
+        stop, start = restart(name)
+        events += [at(3 + number * every, stop), at(3 + number * every + every * 0.75, start)]
+    return events
+
+
+def add_upstream(simulation):
+    """Add a cold upstream."""
+    simulation.add_upstream(len(simulation.upstreams))
+
+
+INSTANCES = [f"a{number}" for number in range(1, 9)]
+KILL = [at(8, lambda simulation: simulation.kill("a3"))]
+DRAINS = [at(3 + 5 * number, drain(number)) for number in range(4)]
+SCENARIOS = {
+    "steady": [],
+    "heavy_tailed": [],
+    "rolling_restart": rolling(INSTANCES, 2.6),
+    "drains": DRAINS,
+    "cold_start": [at(6, add_upstream)],
+    "slow": [at(6, set_fault(2, slowness=4.0))],
+    "lying": [at(0, set_fault(2, lies=True))],
+    "silent": [at(8, set_fault(2, silent=True))],
+    "shedding": [at(6, set_fault(2, sheds=True))],
+    "stale_reports": [at(0, set_report_age)],
+    "kill": KILL,
+    "rack": [at(8, lambda s: s.kill("a3")), at(8, lambda s: s.kill("a4"))],
+    "disagreement": [at(6, cut), at(16, lambda s: s.network.heal())],
+    "burst": [],
+    "kill_and_drain": [at(4, drain(1)), *KILL],
+}
+
+
+def draw_lifetime(simulation, scenario):
+    """Return a stream's life in seconds."""
+    if scenario == "heavy_tailed":
+        return simulation.load.paretovariate(1.5) * MEAN_LIFETIME_SECONDS / 3
+    return simulation.load.expovariate(1 / MEAN_LIFETIME_SECONDS)
+
+
+def arrivals(simulation, per_second):
+    """Return how many arrive in one step."""
+    expected = per_second * 0.01
+    whole = math.floor(expected)
+    return whole + (simulation.load.random() < expected - whole)
+
+
+def run(job):
+    """Run one site, scenario and policy; return the JSON line."""
+    site, scenario, policy, seed = job
+    size = SIZES[site]
+    simulation = Simulation(size, POLICIES[policy], seed)
+    simulation.settle()
+    target = size.streams * size.upstreams
+    stream_rate = target / MEAN_LIFETIME_SECONDS
+    request_rate = REQUEST_LOAD * size.slots * size.upstreams / size.service_seconds
+    events = sorted(SCENARIOS[scenario], key=lambda event: event[0])
+    for _ in range(int(FILL_SECONDS * 100)):
+        for _ in range(arrivals(simulation, target / FILL_SECONDS)):
+            simulation.open_flow(draw_lifetime(simulation, scenario))
+        simulation.run_flows(PACKET_INTERVAL_SECONDS)
+        simulation.step()
+    established = len(simulation.flows)
+    sent_before = sum(i.transitions.handover.bytes_sent for i in simulation.running.values())
+    for step in range(int(RUN_SECONDS * 100)):
+        while events and events[0][0] <= step / 100:
+            events.pop(0)[1](simulation)
+        factor = 5 if scenario == "burst" and 600 <= step < 900 else 1
+        for _ in range(arrivals(simulation, stream_rate * factor)):
+            simulation.open_flow(draw_lifetime(simulation, scenario))
+        for _ in range(arrivals(simulation, request_rate * (2.5 if factor > 1 else 1))):
+            simulation.ask(simulation.load.random() < 0.5)
+        simulation.run_flows(PACKET_INTERVAL_SECONDS)
+        simulation.step()
+        if step % SAMPLE_STEPS == 0:
+            simulation.sample()
+    sent = sum(i.transitions.handover.bytes_sent for i in simulation.running.values())
+    control = max(0, sent - sent_before) / RUN_SECONDS / size.instances
+    return summarise(simulation, site, scenario, policy, established, control)
+
+
+def summarise(simulation, site, scenario, policy, established, control):
+    """Return the JSON line of a run."""
+    outcomes = simulation.outcomes
+    asked = max(1, outcomes["asked"])
+    samples = sorted(simulation.samples)
+    flows = len(simulation.flows)
+    reached = sum(each.arrivals for each in simulation.upstreams.values())
+    line = {
+        "bench": "placement",
+        "site": site,
+        "scenario": scenario,
+        "policy": policy,
+        "streams": flows,
+        "broken_flows": round(len(simulation.broken()) / max(1, flows), 5),
+        "imbalance": round(samples[int(len(samples) * 0.99)], 3),
+        "late": round((outcomes["late"] + outcomes["unknown"]) / asked, 4),
+        "refused": round(outcomes["refused"] / asked, 4),
+        "extra_load": round(max(0.0, reached / asked - 1), 4),
+        "control_bytes_per_second": round(control, 1),
+    }
+    costs = {**line, "imbalance": line["imbalance"] - 1}
+    weights = WEIGHTS[site]
+    line["score"] = round(
+        sum(100 * costs[name] * weight for name, weight in weights.items()), 2
+    )
+    return line
+
+
+def placement(seed=1, site="", scenario="", policy="", workers=8):
+    """
+    Run all sites, scenarios and policies, or those that are named.
+
+    Example: scripts/bench placement --seed 1 --scenario kill
+    """
+    jobs = [
+        (one_site, one_scenario, one_policy, seed)
+        for one_site in SIZES
+        for one_scenario in SCENARIOS
+        for one_policy in POLICIES
+        if site in ("", one_site)
+        and scenario in ("", one_scenario)
+        and policy in ("", one_policy)
+    ]
+    with Pool(workers) as pool:
+        for line in pool.imap(run, jobs):
+            print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(placement, serialize=lambda _: None)
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,204 @@
+"""Policies of placement: the chosen one and the baselines it is compared with."""
+
+import random
+import types
+from functools import lru_cache
+
+import attrs
+import xxhash
+
+from lycheevalve.flows.placement import Placement, find_rule_choice, score
+
+MAGLEV_SIZE = 1021
+# How long the versioned tables are kept.
+VERSION_SECONDS = 60.0
+_random = random.Random(7)
+STREAM_PORT = (7001).to_bytes(2, "big")
+
+
+@attrs.frozen
+class Policy:
+    """A name, and a function that changes an instance to follow the policy."""
+
+    name: str
+    install: object
+
+
+def install_chosen(instance):
+    """Leave an instance as it is."""
+
+
+def hash_modulo(key, candidates):
+    """Return a candidate by plain hashing."""
+    ordered = sorted(candidates, key=lambda u: u.registration.address)
+    return ordered[xxhash.xxh3_64_intdigest(key.to_bytes(8, "big")) % len(ordered)]
+
+
+@lru_cache(maxsize=64)
+def build_maglev(addresses):
+    """Return a Maglev table: the index of an address for each slot."""
+    permutations = []
+    for address in addresses:
+        name = address.encode()
+        offset = xxhash.xxh3_64_intdigest(name, seed=1) % MAGLEV_SIZE
+        skip = xxhash.xxh3_64_intdigest(name, seed=2) % (MAGLEV_SIZE - 1) + 1
+        permutations.append([(offset + j * skip) % MAGLEV_SIZE for j in range(MAGLEV_SIZE)])
+    table = [-1] * MAGLEV_SIZE
+    positions = [0] * len(addresses)
+    filled = 0
+    while filled < MAGLEV_SIZE:
+        for number, permutation in enumerate(permutations):
+            while table[permutation[positions[number]]] >= 0:
+                positions[number] += 1
+            table[permutation[positions[number]]] = number
+            filled += 1
+            if filled == MAGLEV_SIZE:
+                break
+    return table
+
+
+def hash_maglev(key, candidates):
+    """Return a candidate by a Maglev table."""
+    ordered = sorted(candidates, key=lambda u: u.registration.address)
+    table = build_maglev(tuple(u.registration.address for u in ordered))
+    return ordered[table[key % MAGLEV_SIZE]]
+
+
+def hash_rendezvous(key, candidates):
+    """Return a candidate by rendezvous hashing."""
+    return max(candidates, key=lambda upstream: score(key, upstream), default=None)
+
+
+def make_stateless(choose):
+    """Return an install function: every instance places every packet by `choose`."""
+
+    def install(instance):
+        def forward(self, key, service, datagram, now):
+            candidates = self.upstreams.usable(service.name, now)
+            if candidates:
+                self.to_upstream(choose(key, candidates), datagram)
+
+        replace_forward(instance, forward)
+        replace_choice(instance, lambda exchange, found, now: choose(exchange.key, found))
+
+    return install
+
+
+def install_versioned(instance):
+    """
+    Place by versioned tables with daisy-chaining.
+
+    An instance pins what it has seen itself; a packet that does not open a flow
+    and has no pin follows the oldest table that is kept.
+    """
+    versions, pins = [], {}
+
+    def forward(self, key, service, datagram, now):
+        candidates = self.upstreams.usable(service.name, now)
+        if not candidates:
+            return
+        if not versions or set(versions[-1][1]) != set(candidates):
+            versions.append((now, candidates))
+        while len(versions) > 1 and now - versions[1][0] > VERSION_SECONDS:
+            versions.pop(0)
+        upstream = pins.get(key)
+        if upstream is None or not upstream.is_serving(now):
+            opens = datagram[28:29] == b"0"
+            table = versions[-1 if opens else 0][1]
+            table = [u for u in table if u.is_serving(now)] or candidates
+            upstream = pins[key] = hash_maglev(key, table)
+        self.to_upstream(upstream, datagram)
+
+    replace_forward(instance, forward)
+    replace_choice(instance, lambda exchange, found, now: hash_maglev(exchange.key, found))
+
+
+def make_pinned(choose_stream, choose_request):
+    """Return an install function: owners and pins as chosen, another choice."""
+
+    def install(instance):
+        def choose(self, key, service, now):
+            candidates = self.upstreams.usable(service.name, now)
+            if not candidates:
+                return None
+            chosen = choose_stream(key, candidates)
+            return Placement(chosen, chosen is find_rule_choice(key, candidates))
+
+        replace_methods(instance.streams, choose=choose)
+        replace_choice(instance, lambda exchange, found, now: choose_request(found))
+
+    return install
+
+
+def replace_methods(part, **methods):
+    """Replace methods of one object."""
+    cls = type(part)
+    body = {"__slots__": (), **methods}
+    part.__class__ = types.new_class(f"Bench{cls.__name__}", (cls,), exec_body=body_of(body))
+
+
+def body_of(names):
+    """Return a function that fills the body of a class."""
+    return lambda namespace: namespace.update(names)
+
+
+def replace_forward(instance, forward):
+    """Let every instance place every packet of a stream itself."""
+    replace_methods(instance.streams, forward=forward)
+    handle_caller = type(instance.router).handle_caller
+    owner, me = instance.router.owner, instance.settings.name
+
+    def handle(self, packet, hops, now):
+        is_stream = packet.endpoints[10:12] == STREAM_PORT
+        self.owner = (lambda shard: me) if is_stream else owner
+        handle_caller(self, packet, hops, now)
+
+    replace_methods(instance.router, handle_caller=handle)
+
+
+def replace_choice(instance, choose):
+    """Replace how requests are placed."""
+
+    def chosen(self, exchange, candidates, now):
+        return choose(exchange, candidates, now) if candidates else None
+
+    replace_methods(instance.requests, choose=chosen)
+
+
+def least_reported_sessions(key, candidates):
+    """Return the candidate that reports the fewest sessions."""
+    return min(candidates, key=lambda u: (u.registration.sessions, u.registration.address))
+
+
+def least_reported_busy(candidates):
+    """Return the candidate that reports the fewest requests for its slots."""
+    return min(
+        candidates,
+        key=lambda u: (u.registration.busy + u.registration.queued) / u.registration.slots,
+    )
+
+
+def two_choices_sessions(key, candidates):
+    """Return the better of two candidates by the flows this instance has there."""
+    pair = random.Random(key).sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda upstream: upstream.flows)
+
+
+def two_choices_busy(candidates):
+    """Return the better of two candidates by what this instance has outstanding."""
+    pair = _random.sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda upstream: upstream.outstanding)
+
+
+POLICIES = {
+    policy.name: policy
+    for policy in (
+        Policy("chosen", install_chosen),
+        Policy("modulo", make_stateless(hash_modulo)),
+        Policy("rendezvous", make_stateless(hash_rendezvous)),
+        Policy("maglev", make_stateless(hash_maglev)),
+        Policy("versioned", install_versioned),
+        Policy("least_reported", make_pinned(least_reported_sessions, least_reported_busy)),
+        Policy("two_choices", make_pinned(two_choices_sessions, two_choices_busy)),
+    )
+}
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,282 @@
+"""A simulated site under load: real decisions, simulated time, upstreams with slots."""
+
+import collections
+import heapq
+import itertools
+import random
+
+import attrs
+from aiocoap.numbers import codes, types
+
+from lycheevalve.flows import coap
+from lycheevalve.schema.generated.messages import Configuration, Registration
+from lycheevalve.schema.generated.settings import FrontDoor, Service
+from lycheevalve.tests.fakes.proxy import build_header
+from lycheevalve.tests.fakes.site import FABRIC, PLACES, Site
+from lycheevalve.utils.addresses import parse_address
+
+STREAM_DOOR = "10.8.0.1:7001"
+REQUEST_DOOR = "10.8.0.1:7002"
+LIFETIME_SECONDS = 4.0
+QUEUE_LIMIT = 6
+COLD_SECONDS = 3.0
+
+
+@attrs.define
+class SiteSize:
+    """The size of one user's site."""
+
+    name: str
+    instances: int
+    upstreams: int
+    slots: int
+    # Streams held by each upstream on average.
+    streams: int
+    service_seconds: float
+    deadline_seconds: float
+
+
+SIZES = {
+    "lagos": SiteSize("lagos", 8, 7, 3, 250, 0.08, 2.0),
+    "hvelfing": SiteSize("hvelfing", 8, 7, 2, 250, 0.05, 1.0),
+}
+
+
+@attrs.define(eq=False)
+class SlotUpstream:
+    """An upstream with slots, a queue that sheds, and reports that may mislead."""
+
+    address: str
+    slots: int
+    service_seconds: float
+    random: random.Random
+    service: str = "bench"
+    up: bool = True
+    started_at: float = 0.0
+    incarnation: int = 1
+    sequence: int = 0
+    draining: bool = False
+    # Faults: times slower, reports nothing, answers nothing, sheds all.
+    slowness: float = 1.0
+    lies: bool = False
+    silent: bool = False
+    sheds: bool = False
+    report_age: float = 0.0
+    announce_at: float = 0.0
+    sessions: dict = attrs.field(factory=dict)
+    broken: set = attrs.field(factory=set)
+    running: list = attrs.field(factory=list)
+    queue: collections.deque = attrs.field(factory=collections.deque)
+    cancelled: set = attrs.field(factory=set)
+    past_reports: collections.deque = attrs.field(factory=collections.deque)
+    arrivals: int = 0
+    misrouted: list = attrs.field(factory=list)
+
+    def registration(self, now, leaving=False):
+        """Return the next announcement, with what it reports."""
+        self.sequence += 1
+        self.past_reports.append((now, len(self.running), len(self.queue), len(self.sessions)))
+        while len(self.past_reports) > 1 and self.past_reports[1][0] <= now - self.report_age:
+            self.past_reports.popleft()
+        _, busy, queued, sessions = self.past_reports[0]
+        if self.lies:
+            busy = queued = sessions = 0
+        return Registration(
+            "bench", self.address, "dc1", self.incarnation, self.sequence,
+            int(LIFETIME_SECONDS * 1000), self.slots, 2000, busy, queued, sessions,
+            self.draining, leaving,
+        )  # fmt: skip
+
+    def take(self, datagram, source, now):
+        """Take a stream's packet or a request."""
+        if datagram[26:28] == (7001).to_bytes(2, "big"):
+            self.take_packet(datagram[16:28], datagram[28:29], now)
+            return []
+        return self.take_request(datagram, source, now)
+
+    def take_packet(self, flow, kind, now):
+        """Note a packet: `0` opens a flow, `1` goes on, `2` ends it."""
+        if kind != b"0" and flow not in self.sessions:
+            self.broken.add(flow)
+        if kind == b"2":
+            self.sessions.pop(flow, None)
+        else:
+            self.sessions[flow] = now
+
+    def take_request(self, datagram, source, now):
+        """Queue, shed or swallow a request."""
+        header, message = datagram[:28], coap.decode_message(datagram[28:])
+        if message.mtype is types.RST:
+            self.cancelled.add((header, message.mid))
+            return []
+        self.arrivals += 1
+        if self.silent:
+            return []
+        if self.sheds or len(self.queue) >= QUEUE_LIMIT:
+            return [header + coap.encode_reply(message.mid, message.token, coap.NOT_RUN)]
+        self.queue.append((header, message, source))
+        self.fill_slots(now)
+        return []
+
+    def fill_slots(self, now):
+        """Start queued requests while there are free slots."""
+        while self.queue and len(self.running) < self.slots:
+            header, message, source = self.queue.popleft()
+            if (header, message.mid) in self.cancelled:
+                continue
+            cold = max(0.0, 1 - (now - self.started_at) / COLD_SECONDS)
+            mean = self.service_seconds * self.slowness * (1 + 4 * cold)
+            end = now + self.random.uniform(0.5, 1.5) * mean
+            reply = coap.encode_reply(message.mid, message.token, codes.CHANGED)
+            heapq.heappush(self.running, (end, message.mid, header + reply, source))
+
+    def finish_due(self, now):
+        """Return (answer, receiver) of the requests that are done."""
+        done = []
+        while self.running and self.running[0][0] <= now:
+            _, _, answer, source = heapq.heappop(self.running)
+            done.append((answer, source))
+        self.fill_slots(now)
+        return done
+
+
+class Simulation(Site):
+    """A Site with SlotUpstreams, one service, and callers with streams and requests."""
+
+    def __init__(self, size, policy, seed):
+        self.size = size
+        self.policy = policy
+        super().__init__(seed, size.instances, 0, 0)
+        doors = [FrontDoor(STREAM_DOOR, "stream"), FrontDoor(REQUEST_DOOR, "request")]
+        self.service = Service(
+            "bench", doors, list(PLACES),
+            deadline_ms=int(size.deadline_seconds * 1000), warm_up_seconds=3,
+        )  # fmt: skip
+        self.configuration = Configuration(1, [self.service])
+        self.load = random.Random(seed + 1)
+        for number in range(size.upstreams):
+            self.add_upstream(number)
+        self.flows = {}
+        self.flow_numbers = itertools.count()
+        self.next_packets = []
+        self.request_number = 0
+        self.pending = {}
+        self.outcomes = collections.Counter()
+        self.samples = []
+        self.message_bytes = 0
+
+    def add_upstream(self, number):
+        """Add an upstream that starts now."""
+        address = f"10.1.0.{number + 1}:7300"
+        seeded = random.Random(number)
+        size = self.size
+        upstream = SlotUpstream(address, size.slots, size.service_seconds, seeded)
+        upstream.started_at = self.now if number >= size.upstreams else self.now - 100
+        self.upstreams[parse_address(address)] = upstream
+        return upstream
+
+    def start(self, name):
+        """Start an instance with the policy under test."""
+        super().start(name)
+        self.policy.install(self.running[name])
+
+    def reconfigure(self, drained=()):
+        """Have other drains accepted."""
+        revision = self.configuration.revision + 1
+        self.configuration = Configuration(revision, [self.service], sorted(drained))
+        self.commit()
+
+    def announce(self, registration):
+        """Let an announcement reach one instance, whole or cut."""
+        live = sorted(set(self.running) - self.frozen - self.leaving)
+        self.running[self.random.choice(live)].announce(registration, self.now)
+
+    def run_upstream(self, address, upstream):
+        """Announce when it is time, and answer what is done."""
+        if not upstream.up:
+            return
+        if self.now >= upstream.announce_at:
+            upstream.announce_at = self.now + 1.0
+            self.announce(upstream.registration(self.now))
+        for answer, receiver in upstream.finish_due(self.now):
+            self.network.send(address, self.by_address[receiver], answer)
+
+    def deliver(self, source, receiver, content):
+        """Count answers at the fabric, and the bytes of control."""
+        if receiver == FABRIC:
+            self.take_answer(content)
+            return
+        super().deliver(source, receiver, content)
+
+    # Streams.
+
+    def open_flow(self, lifetime):
+        """Open a stream that lives for `lifetime` seconds."""
+        number = next(self.flow_numbers)
+        caller = (f"10.{5 + (number >> 16)}.{number >> 8 & 255}.{number & 255}", 5000)
+        header = build_header(caller, parse_address(STREAM_DOOR))
+        self.flows[header] = self.now + lifetime
+        self.spray(header + b"0")
+        heapq.heappush(self.next_packets, (self.now + self.load.uniform(0.5, 2.0), header))
+
+    def run_flows(self, interval):
+        """Send the packets that are due; the last one ends its stream."""
+        while self.next_packets and self.next_packets[0][0] <= self.now:
+            _, header = heapq.heappop(self.next_packets)
+            if self.now >= self.flows[header]:
+                self.spray(header + b"2")
+                continue
+            self.spray(header + b"1")
+            following = self.now + self.load.uniform(0.5, 1.5) * interval
+            heapq.heappush(self.next_packets, (following, header))
+
+    def spray(self, datagram):
+        """Send a datagram at a random live instance."""
+        live = sorted(set(self.running) - self.frozen - self.leaving)
+        self.network.queue.append((FABRIC, self.load.choice(live), datagram))
+
+    # Requests.
+
+    def ask(self, idempotent):
+        """Send a request of a new caller."""
+        self.request_number += 1
+        number = self.request_number
+        caller = (f"10.{100 + (number >> 16)}.{number >> 8 & 255}.{number & 255}", 6000)
+        header = build_header(caller, parse_address(REQUEST_DOOR))
+        message = coap.Message(
+            _mtype=types.CON, _mid=number & 0xFFFF, _token=b"t",
+            code=codes.PUT if idempotent else codes.POST, uri_path=("r",),
+        )  # fmt: skip
+        self.pending[header] = self.now
+        self.outcomes["asked"] += 1
+        self.spray(header + message.encode())
+
+    def take_answer(self, datagram):
+        """Note a final answer, late ones by their time."""
+        asked_at = self.pending.pop(datagram[:28], None)
+        if asked_at is None:
+            return
+        code = coap.decode_message(datagram[28:]).code
+        late = self.now - asked_at > self.size.deadline_seconds
+        kinds = {codes.CHANGED: "late" if late else "good", coap.NOT_RUN: "refused"}
+        self.outcomes[kinds.get(code, "unknown")] += 1
+        if code == coap.NOT_RUN:
+            self.outcomes["refused_within_100ms"] += self.now - asked_at <= 0.1
+
+    # Measures.
+
+    def sample(self):
+        """Note the imbalance of the streams over the upstreams that take new ones."""
+        loads = [len(u.sessions) for u in self.upstreams.values() if u.up and not u.draining]
+        drained = set(self.configuration.drained)
+        loads = [
+            len(u.sessions)
+            for u in self.upstreams.values()
+            if u.up and not u.draining and u.address not in drained
+        ]
+        if sum(loads):
+            self.samples.append(max(loads) * len(loads) / sum(loads))
+
+    def broken(self):
+        """Return the streams that reached an upstream that did not know them."""
+        return set().union(*(upstream.broken for upstream in self.upstreams.values()))
