Let starting instances own nothing, ask all who may hold a pin, place by own load

Rolling restart broke 5.9 % of the streams. A starting instance owned shards before it knew settings, upstreams and pins; its pins could name upstreams that it had not heard of; it held every upstream back for 0.5 s. Members now join first and own later, relay what they can't judge, and ask all reachable instances between themselves and the next owner for pins until those say that all are handed over. 2. Requests at 0.6 of capacity: 9.6 % refused. All owners follow the same reports to the same upstream. They now go by their own outstanding requests among the upstreams that have room; silences and refusals weigh on an upstream and fade. 3. A lease that lapses behind a cut moved streams of an upstream that answers. Answers within a second now count as life.

--- a/lycheevalve/coordination/membership.py
+++ b/lycheevalve/coordination/membership.py
@@ -29,10 +29,12 @@
     """The state of a member; at equal numbers the higher one wins."""
 
     ALIVE = 0
-    LEAVING = 1
-    SUSPECT = 2
-    DEAD = 3
-    LEFT = 4
+    # Started, but not yet fit to own anything.
+    JOINING = 1
+    LEAVING = 2
+    SUSPECT = 3
+    DEAD = 4
+    LEFT = 5
 
 
 @attrs.define
@@ -147,7 +149,7 @@
         """Ask a few other members to ping `target`."""
         helpers = [
             member.name
-            for member in self.in_states(State.ALIVE, State.LEAVING)
+            for member in self.in_states(State.ALIVE, State.JOINING, State.LEAVING)
             if member.name not in (self.me.name, target)
         ]
         for name in self.random.sample(helpers, min(INDIRECT_PINGS, len(helpers))):
@@ -173,6 +175,11 @@
         self.spread(member.name)
         self.changed(now)
 
+    def activate(self, now):
+        """End the start: this instance may own from now on."""
+        self.me.refutation += 1
+        self.set_state(self.me, State.ALIVE, now)
+
     def leave(self, now):
         """Announce the graceful stop: no ownership, still reachable."""
         self.me.refutation += 1
--- a/lycheevalve/flows/claims.py
+++ b/lycheevalve/flows/claims.py
@@ -63,7 +63,7 @@
     def ask(self, claim, now):
         """Send a claim to the recorders that have not answered."""
         claim.sent_at = now
-        for name in claim.waiting:
+        for name in sorted(claim.waiting):
             self.number += 1
             self.send(name, Claim(self.number, [claim.key]))
 
--- a/lycheevalve/flows/handover.py
+++ b/lycheevalve/flows/handover.py
@@ -42,14 +42,17 @@
     moves: collections.deque = attrs.field(factory=collections.deque)
     copies: collections.deque = attrs.field(factory=collections.deque)
     claims: collections.deque = attrs.field(factory=collections.deque)
-    final: bool = False
+    # End marks to send once the queues are empty.
+    claims_complete: bool = False
+    pins_complete: bool = False
     # The chunk that waits for its ack: (message, keys to drop, time sent).
     waiting: tuple | None = None
 
     def is_empty(self):
         """Return whether nothing is left to send."""
-        queued = self.moves or self.copies or self.claims or self.final
-        return not queued and self.waiting is None
+        queued = self.moves or self.copies or self.claims
+        marks = self.claims_complete or self.pins_complete
+        return not queued and not marks and self.waiting is None
 
 
 @attrs.define
@@ -115,9 +118,10 @@
         elif transfer.copies:
             message.pins = self.group(self.take(transfer.copies))
             message.backup = True
-        elif transfer.final:
-            transfer.final = False
-            message.final = True
+        else:
+            message.claims_complete = transfer.claims_complete
+            message.pins_complete = transfer.pins_complete
+            transfer.claims_complete = transfer.pins_complete = False
         transfer.waiting = (message, moved, now)
         self.spend(message)
         self.send(name, message)
--- a/lycheevalve/flows/limits.py
+++ b/lycheevalve/flows/limits.py
@@ -10,6 +10,9 @@
 import attrs
 
 REPORT_HALF_LIFE_SECONDS = 2.0
+FAILURE_HALF_LIFE_SECONDS = 2.0
+MAX_FAILURES = 8.0
+MIN_LATENCY_SECONDS = 0.001
 RETRY_BURST = 10.0
 # Bounds of the time to come back that a refusal names, in seconds.
 MIN_RETRY_AFTER_SECONDS = 1
@@ -57,18 +60,33 @@
 
 
 def choose_for_request(candidates, now, warm_up_seconds, random):
-    """Return the upstream with the least estimated load for its slots, or None."""
+    """
+    Return the upstream that should answer soonest, or None.
+
+    It goes by what this instance has outstanding there, not by reports: those
+    are the same for all instances, which would all turn to the same upstream.
+    """
 
     def cost(upstream):
         slots = max(1, upstream.registration.slots)
-        load = (estimate_in_flight(upstream, now) + 1) / slots
-        load /= upstream.warmth(now, warm_up_seconds)
-        penalty = 2.0 ** min(upstream.silent, 10)
-        return load * max(upstream.latency, 0.001) * penalty, random.random()
+        load = (upstream.outstanding + 1) / slots / upstream.warmth(now, warm_up_seconds)
+        latency = max(upstream.latency, MIN_LATENCY_SECONDS)
+        return load * latency * 2.0 ** weigh_failures(upstream, now), random.random()
 
     return min(candidates, key=cost, default=None)
 
 
+def note_failure(upstream, now):
+    """Count a silence or a refusal of an upstream."""
+    upstream.failures = min(MAX_FAILURES, weigh_failures(upstream, now) + 1)
+    upstream.failed_at = now
+
+
+def weigh_failures(upstream, now):
+    """Return the failures since the last answer, halved every so often."""
+    return upstream.failures * 0.5 ** ((now - upstream.failed_at) / FAILURE_HALF_LIFE_SECONDS)
+
+
 def can_finish(upstream, now, deadline, ahead=0):
     """Return whether an answer can be expected before `deadline`."""
     return now + estimate_wait(upstream, now, ahead) + upstream.latency <= deadline
--- a/lycheevalve/flows/ownership.py
+++ b/lycheevalve/flows/ownership.py
@@ -18,6 +18,7 @@
 
 CLAIM_GROUP = 3
 RANKS_KEPT = 6
+OWNER_STATES = (State.ALIVE, State.SUSPECT)
 
 _columns: dict[str, numpy.ndarray] = {}
 
@@ -47,6 +48,8 @@
     owners: list[str] = attrs.field(factory=list)
     seconds: list[str] = attrs.field(factory=list)
     groups: list[tuple[str, ...]] = attrs.field(factory=list)
+    # The instances that may own.
+    alive: frozenset[str] = frozenset()
     # The reachable instances of each shard in order, leaving ones included.
     ranks: list[tuple[str, ...]] = attrs.field(factory=list)
 
@@ -56,20 +59,23 @@
         known = sorted((m.name, State(m.state)) for m in members if m.state != State.LEFT)
         return compute_ownership(tuple(known))
 
-    def previous_owners(self, shard, me, joined_recently):
+    def previous_owners(self, shard, me, joined_after):
         """
         Return who may hold pins of a shard that `me` owns.
 
-        Leaving instances that ranked above `me`, and, when `me` has joined
-        recently, the next one after it.
+        Leaving instances that ranked above `me`; and of `joined_after`, those that
+        were there before `me`, the next ones after it up to the first alive.
         """
         ranks = self.ranks[shard]
         if me not in ranks:
             return []
         position = ranks.index(me)
         previous = list(ranks[:position])
-        if joined_recently:
-            previous += ranks[position + 1 : position + 2]
+        for name in ranks[position + 1 :]:
+            if name in joined_after:
+                previous.append(name)
+            if name in self.alive:
+                break
         return previous
 
 
@@ -79,10 +85,10 @@
     if not known:
         return Ownership()
     names = [name for name, _ in known]
-    alive = {name for name, state in known if state in (State.ALIVE, State.SUSPECT)}
+    alive = frozenset(name for name, state in known if state in OWNER_STATES)
     reachable = {name for name, state in known if state < State.DEAD}
     staying = {name for name, state in known if state != State.LEAVING}
-    result = Ownership()
+    result = Ownership(alive=alive)
     for row in rank(names).tolist():
         ranked = [names[index] for index in row]
         living = [name for name in ranked if name in alive]
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -194,11 +194,9 @@
             self.continue_blocks(exchange, now)
             return
         candidates = self.candidates(exchange, now)
-        upstream = self.choose(exchange, candidates, now)
+        upstream = self.choose(exchange, self.with_room(candidates, now), now)
         queue = self.queue(exchange.service)
-        if upstream is None:
-            self.refuse(exchange, now)
-        elif not queue and self.has_room(upstream, now):
+        if upstream is not None and not queue:
             self.dispatch(exchange, upstream, now)
         elif len(queue) < MAX_QUEUE and self.is_hopeful(exchange, candidates, len(queue), now):
             exchange.state = State.QUEUED
@@ -273,7 +271,7 @@
     def handle_silence(self, exchange, now):
         """Give up on an upstream that does not answer, and cancel there."""
         upstream = exchange.upstream
-        upstream.silent += 1
+        limits.note_failure(upstream, now)
         limits.update_latency(upstream, now - exchange.sent_at)
         reset = coap.encode_reset(exchange.request.message_id)
         self.to_upstream(upstream, exchange.header + reset)
@@ -350,11 +348,11 @@
         if exchange.state is not State.SENT:
             self.observe("late_answers")
             return
-        upstream.silent = 0
-        upstream.answered_at = now
         if message.code == coap.NOT_RUN:
+            limits.note_failure(upstream, now)
             self.happen(exchange, Event.SHED, now)
             return
+        upstream.failures = 0.0
         upstream.answers += 1
         limits.update_latency(upstream, now - exchange.sent_at)
         exchange.reply = message
@@ -393,11 +391,11 @@
         while queue:
             exchange = queue[0]
             candidates = self.candidates(exchange, now)
-            upstream = self.choose(exchange, candidates, now)
+            upstream = self.choose(exchange, self.with_room(candidates, now), now)
             if not self.is_hopeful(exchange, candidates, 0, now):
                 queue.popleft()
                 self.happen(exchange, Event.HOPELESS, now)
-            elif self.has_room(upstream, now):
+            elif upstream is not None:
                 queue.popleft()
                 self.dispatch(exchange, upstream, now)
             else:
@@ -435,10 +433,14 @@
         return limits.choose_for_request(candidates, now, warm_up, self.random)
 
     @staticmethod
-    def has_room(upstream, now):
-        """Return whether an upstream has a free slot, or one to spare in its queue."""
-        slots = max(1, upstream.registration.slots)
-        return limits.estimate_in_flight(upstream, now) < slots + 1
+    def with_room(candidates, now):
+        """Return those that have a free slot, or one to spare in their queue."""
+        return [
+            upstream
+            for upstream in candidates
+            if limits.estimate_in_flight(upstream, now)
+            < max(1, upstream.registration.slots) + 1
+        ]
 
     def is_hopeful(self, exchange, candidates, ahead, now):
         """Return whether some candidate can still answer in time."""
--- a/lycheevalve/flows/router.py
+++ b/lycheevalve/flows/router.py
@@ -61,7 +61,8 @@
     """
     The routes of one instance.
 
-    `owner(shard)` names the owner of a shard; `relay(name, datagram)` sends to
+    `owner(shard)` names the owner of a shard, `helper()` another instance while
+    this one starts; `relay(name, datagram)` sends to
     an instance, `to_fabric(datagram)` to a caller; `announce(registration,
     now)` takes what an upstream said of itself.
     """
@@ -73,6 +74,7 @@
     streams: object
     requests: object
     owner: object
+    helper: object
     relay: object
     to_fabric: object
     announce: object
@@ -100,7 +102,7 @@
         """Serve a caller's datagram here, or relay it to its owner."""
         door = self.front_doors.get(front_door_bytes(packet.endpoints))
         if door is None:
-            self.observe("unknown_front_door")
+            self.ask_helper(packet, hops)
             return
         if door.kind == REGISTRY:
             self.handle_announcement(packet, now)
@@ -114,6 +116,14 @@
         else:
             self.observe("no_owner")
 
+    def ask_helper(self, packet, hops):
+        """Relay what an instance that has no settings yet can't judge."""
+        helper = self.helper()
+        if helper and hops < MAX_HOPS:
+            self.relay(helper, bytes((RELAY, hops + 1)) + packet.datagram)
+        else:
+            self.observe("unknown_front_door")
+
     def serve(self, door, key, packet, hops, now):
         """Hand a datagram of an own shard to the streams or the requests."""
         if door.kind == STREAM:
@@ -128,9 +138,6 @@
         if door is None or door.kind == REGISTRY or door.service.name != upstream.service:
             self.observe("foreign_answers")
             return
-        if now < upstream.usable_at:
-            self.observe("foreign_answers")
-            return
         upstream.answered_at = now
         if door.kind == STREAM:
             self.to_fabric(packet.datagram)
--- a/lycheevalve/flows/transitions.py
+++ b/lycheevalve/flows/transitions.py
@@ -42,8 +42,11 @@
     backups: dict[int, int] = attrs.field(factory=dict)
     taken_over: dict[int, float] = attrs.field(factory=dict)
     welcomed: set[str] = attrs.field(factory=set)
-    # Peers whose knowledge this instance still waits for.
+    # Peers whose claims this instance still waits for.
     waiting_for: set[str] = attrs.field(init=False)
+    # Instances that may still hold pins of shards that became this one's.
+    pins_from: set[str] = attrs.field(factory=set)
+    owners_before: frozenset = frozenset()
     joined_at: float = attrs.field(init=False)
     dirty: bool = True
     expire_at: int = 0
@@ -86,6 +89,7 @@
                 added = set(after.groups[shard]) - set(before.groups[shard])
                 self.hand_claims(claims[shard], added)
         self.inform_welcomed(claims)
+        self.mark_new_owners()
 
     def follow_owner(self, shard, before, after, now):
         """Act on a shard's new owner."""
@@ -115,7 +119,7 @@
 
     def hand_claims(self, claims, names):
         """Queue claims for instances that are new in their group."""
-        for name in names - {self.me}:
+        for name in sorted(names - {self.me}):
             if self.membership.is_reachable(name):
                 self.handover.transfer(name).claims.extend(claims)
 
@@ -126,18 +130,27 @@
 
     def inform_welcomed(self, claims):
         """Queue for asking instances the claims of their groups, and the end mark."""
-        for name in self.welcomed:
+        for name in sorted(self.welcomed):
             if not self.membership.is_reachable(name):
                 continue
             transfer = self.handover.transfer(name)
-            if transfer.final:
+            if transfer.claims_complete:
                 continue
             for shard, pairs in claims.items():
                 if name in self.ownership.groups[shard]:
                     transfer.claims.extend(pairs)
-            transfer.final = True
+            transfer.claims_complete = True
+            transfer.pins_complete = name in self.owners_before
         self.welcomed.clear()
 
+    def mark_new_owners(self):
+        """Tell instances that have just become owners when they have all their pins."""
+        owners = self.ownership.alive
+        for name in sorted(owners - self.owners_before - {self.me}):
+            self.handover.transfer(name).pins_complete = True
+        self.owners_before = owners
+        self.pins_from = set(filter(self.membership.is_reachable, self.pins_from))
+
     def update_informed(self, now):
         """Count as informed when all have told, or when nothing old can matter."""
         gone = {member.name for member in self.membership.in_states(State.LEFT)}
@@ -146,17 +159,24 @@
         if not self.waiting_for or waited:
             self.waiting_for = set()
             self.claims.informed = True
+        if waited:
+            self.pins_from = set()
 
     def thaw(self, now):
         """Start anew after having been frozen: own pins are only copies now."""
         self.backups.update(self.pins.take_all())
+        self.expect_pins(now)
+        self.waiting_for = set(self.pins_from)
+        self.claims.informed = False
+
+    def expect_pins(self, now):
+        """Ask the others about flows until they have handed over their pins."""
         self.joined_at = now
-        self.waiting_for = {
+        self.pins_from = {
             member.name
             for member in self.membership.members.values()
             if member.state < State.DEAD and member.name != self.me
         }
-        self.claims.informed = False
 
     # Questions of the other parts.
 
@@ -170,12 +190,11 @@
 
     def count_owners(self):
         """Return how many instances own shards."""
-        return max(1, len(self.membership.in_states(State.ALIVE, State.SUSPECT)))
+        return max(1, len(self.ownership.alive))
 
     def previous_owners(self, shard):
         """Return who may hold pins of a shard that is owned here."""
-        recently = bool(self.waiting_for)
-        return self.ownership.previous_owners(shard, self.me, recently)
+        return self.ownership.previous_owners(shard, self.me, self.pins_from)
 
     def is_taken_over(self, shard, now):
         """Return whether a shard came here lately without a handover."""
@@ -197,8 +216,10 @@
                 self.take_pin(key, upstream.index, message.backup, now)
         for key, holder in zip(message.claims, message.holders):
             self.claims.record(key, holder, now)
-        if message.final:
+        if message.claims_complete:
             self.waiting_for.discard(sender)
+        if message.pins_complete:
+            self.pins_from.discard(sender)
         self.handover.send(sender, PinsAck(message.number))
 
     def take_pin(self, key, index, is_backup, now):
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -14,14 +14,14 @@
 
 # How long a datagram or a piece of news may be under way.
 MAX_TRANSIT_SECONDS = 1.0
-HOLD_SECONDS = 0.5
+# After its lease has run out, an upstream that answered lately still serves.
+ANSWER_GRACE_SECONDS = 1.0
 KEEP_GONE_SECONDS = 7200.0
 
 
 class UpstreamState(enum.Enum):
     """What an upstream may be given."""
 
-    HELD = "held"
     UP = "up"
     DRAINING = "draining"
     GONE = "gone"
@@ -34,9 +34,8 @@
     index: int
     registration: object
     address: tuple
-    usable_at: float
+    started_at: float
     expires_at: float
-    first_seen: float
     reported_at: float
     drained: bool = False
     # What this instance has under way there.
@@ -44,12 +43,14 @@
     flows: int = 0
     # Requests sent less requests finished since the last report.
     since_report: int = 0
-    new_flows_since_report: int = 0
     latency: float = 0.1
     answers: int = 0
-    # Requests in a row that met silence.
-    silent: int = 0
-    answered_at: float = 0.0
+    # Silences and refusals since the last answer, see limits.py.
+    failures: float = 0.0
+    failed_at: float = 0.0
+    answered_at: float = float("-inf")
+    # Another incarnation has its address, or it said that it is gone.
+    replaced: bool = False
 
     @property
     def service(self):
@@ -60,21 +61,21 @@
         """Return the upstream's state at `now`."""
         if now >= self.expires_at or self.registration.leaving:
             return UpstreamState.GONE
-        if now < self.usable_at:
-            return UpstreamState.HELD
         if self.drained or self.registration.draining:
             return UpstreamState.DRAINING
         return UpstreamState.UP
 
     def is_serving(self, now):
         """Return whether established flows may be forwarded to it."""
-        return self.state(now) in (UpstreamState.UP, UpstreamState.DRAINING)
+        if self.replaced:
+            return False
+        return now < self.expires_at or now - self.answered_at < ANSWER_GRACE_SECONDS
 
     def warmth(self, now, warm_up_seconds):
         """Return the share of its capacity a starting upstream may get, 0.1 to 1."""
         if warm_up_seconds <= 0:
             return 1.0
-        return min(1.0, 0.1 + 0.9 * (now - self.usable_at) / warm_up_seconds)
+        return min(1.0, 0.1 + 0.9 * (now - self.started_at) / warm_up_seconds)
 
 
 def order_of(registration):
@@ -113,26 +114,23 @@
 
     def renew(self, upstream, registration, now):
         """Extend the lease of a known upstream and take its load report."""
-        expired = now >= upstream.expires_at
         upstream.registration = registration
         upstream.expires_at = now + registration.lifetime_ms / 1000
         upstream.reported_at = now
         upstream.since_report = 0
-        upstream.new_flows_since_report = 0
-        if expired:
-            upstream.usable_at = now + HOLD_SECONDS
+        upstream.replaced = registration.leaving
 
     def replace(self, current, registration, address, now):
         """Add a new incarnation; the old one of the address ends."""
         if current is not None:
             current.expires_at = min(current.expires_at, now)
+            current.replaced = True
         upstream = Upstream(
             index=self.next_index,
             registration=registration,
             address=address,
-            usable_at=now + HOLD_SECONDS,
+            started_at=now - registration.known_ms / 1000,
             expires_at=now + registration.lifetime_ms / 1000,
-            first_seen=now,
             reported_at=now,
             drained=registration.address in self.drained,
         )
@@ -160,9 +158,14 @@
     def live_leases(self, now, addresses=None):
         """Return the registrations that hold, each with the lifetime that is left."""
         return [
-            attrs.evolve(u.registration, lifetime_ms=int((u.expires_at - now) * 1000))
-            for u in self.by_address.values()
-            if u.expires_at > now and (addresses is None or u.registration.address in addresses)
+            attrs.evolve(
+                upstream.registration,
+                lifetime_ms=int((upstream.expires_at - now) * 1000),
+                known_ms=int((now - upstream.started_at) * 1000),
+            )
+            for upstream in self.by_address.values()
+            if upstream.expires_at > now
+            and (addresses is None or upstream.registration.address in addresses)
         ]
 
     def late_leases(self, now):
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -45,6 +45,7 @@
 SPREAD_SECONDS = 0.5
 REGISTRATIONS_SECONDS = 0.1
 LEASE_QUERY_SECONDS = 0.3
+JOIN_SECONDS = 0.1
 HOUSEKEEPING_SECONDS = 1.0
 SYNC_SECONDS = 0.5
 # How long a leaving instance stays at least, for packets under way to it.
@@ -70,13 +71,19 @@
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
     pending_registrations: dict = attrs.field(factory=dict)
+    # Whether another instance has told its members and upstreams.
+    synced: bool = False
     left_at: float = 0.0
     seen_at: float = 0.0
 
     def __attrs_post_init__(self):
         settings = self.settings
         me = Member(
-            settings.name, settings.data_centre, settings.address, self.incarnation, 0, 0, 0
+            name=settings.name,
+            data_centre=settings.data_centre,
+            address=settings.address,
+            incarnation=self.incarnation,
+            state=State.JOINING,
         )
         self.peers = dict(peer.split("@", 1) for peer in settings.peers)
         self.membership = Membership(me, self.send, self.view_changed, self.random)
@@ -148,6 +155,7 @@
             streams=self.streams,
             requests=self.requests,
             owner=self.transitions.owner,
+            helper=self.find_helper,
             relay=self.relay,
             to_fabric=self.to_fabric,
             announce=self.announce,
@@ -165,6 +173,7 @@
         timers.subscribe(REGISTRATIONS_SECONDS, self.send_registrations, now)
         timers.subscribe(LEASE_QUERY_SECONDS, self.query_leases, now)
         timers.subscribe(SYNC_SECONDS, self.sync_peers, now, 0.0)
+        timers.subscribe(JOIN_SECONDS, self.finish_joining, now)
         timers.subscribe(HOUSEKEEPING_SECONDS, self.keep_house, now)
 
     # Time.
@@ -262,6 +271,8 @@
         if message.reply_wanted:
             self.send(sender, self.build_sync(now, False))
             self.transitions.welcome(sender)
+        else:
+            self.synced = True
 
     def handle_registrations(self, sender, message, now):
         """Take what upstreams told another instance."""
@@ -311,6 +322,22 @@
         for name in self.live_others():
             self.send(name, messages.Registrations(registrations))
 
+    def finish_joining(self, now):
+        """Own shards once settings and upstreams are here."""
+        if self.membership.me.state != State.JOINING or not self.spreading.ready:
+            return
+        has_settings = self.spreading.applied.revision == self.spreading.held.revision
+        if has_settings and (self.synced or not self.live_others()):
+            self.transitions.expect_pins(now)
+            self.membership.activate(now)
+
+    def find_helper(self):
+        """Return who handles datagrams while this instance joins, or an empty name."""
+        if self.membership.me.state != State.JOINING:
+            return ""
+        alive = [member.name for member in self.membership.in_states(State.ALIVE)]
+        return self.random.choice(alive) if alive else ""
+
     # The view and the configuration.
 
     def view_changed(self, now):
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -92,6 +92,8 @@
   11: i32 sessions
   12: bool draining
   13: bool leaving
+  // How long the sender has known this incarnation.
+  14: i64 known_ms
 }
 
 struct Sync {
@@ -143,8 +145,11 @@
   2: list<UpstreamPins> pins
   3: list<i64> claims
   4: list<string> holders
-  5: bool final
+  // The receiver now has the claims of its groups.
+  5: bool claims_complete
   6: bool backup
+  // The receiver now has the pins of the shards that became its own.
+  7: bool pins_complete
 }
 
 struct PinsAck {
--- a/lycheevalve/tests/test_flows.py
+++ b/lycheevalve/tests/test_flows.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import precondition, rule
 
+from lycheevalve.coordination.membership import State
 from lycheevalve.flows.keys import SHARD_MASK, flow_key
 from lycheevalve.tests.fakes.machines import SERVICES, SiteMachine
 from lycheevalve.tests.fakes.proxy import build_header
@@ -187,6 +188,40 @@
         assert speak_all(site, sessions) == []
 
 
+class TestRollingRestart:
+    """All instances restart one after another, while all sessions speak."""
+
+    def test_breaks_nothing_when_stops_and_starts_overlap(self):
+        site = Site(14, instances=5)
+        site.settle()
+        sessions = open_sessions(site, 200)
+        for tenth in range(150):
+            turn, part = divmod(tenth, 25)
+            if part == 0 and turn < len(site.names):
+                site.stop(site.names[turn])
+            if part == 15 and turn < len(site.names) and site.names[turn] not in site.running:
+                site.start(site.names[turn])
+            for session in list(sessions.servers)[tenth % 4 :: 4]:
+                sessions.speak(*session)
+            site.run(0.1)
+        assert set(site.running) == set(site.names)
+        assert speak_all(site, sessions) == []
+
+    def test_starting_instance_relays_what_it_can_not_judge(self):
+        site = Site(15)
+        site.settle()
+        sessions = open_sessions(site, 40)
+        site.kill("a1")
+        site.run(3.0)
+        site.start("a1")
+        before = len(site.answers)
+        for caller, service in sessions.servers:
+            site.send(caller, service, "stream", f"{caller[0]}/{service}|x".encode(), "a1")
+        site.run(0.2)
+        assert site.running["a1"].membership.me.state == State.JOINING
+        assert len(site.answers) - before == 40
+
+
 class TestSlowHandover:
     """A handover that takes longer than the next packets."""
 
