--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,6 +9,7 @@
 import math
 from multiprocessing import Pool
 
+import attrs
 import fire
 
 from bench.policies import POLICIES
@@ -129,8 +130,8 @@
 
 def run(job):
     """Run one site, scenario and policy; return the JSON line."""
-    site, scenario, policy, seed = job
-    size = SIZES[site]
+    site, scenario, policy, seed, streams = job
+    size = attrs.evolve(SIZES[site], streams=streams)
     simulation = Simulation(size, POLICIES[policy], seed)
     simulation.settle()
     target = size.streams * size.upstreams
@@ -189,14 +190,16 @@
     return line
 
 
-def placement(seed=1, site="", scenario="", policy="", workers=8):
+def placement(seed=1, site="", scenario="", policy="", streams=250, workers=8):
     """
     Run all sites, scenarios and policies, or those that are named.
 
+    STREAMS is the number that each upstream holds on average; 2000 is today's.
+
     Example: scripts/bench placement --seed 1 --scenario kill
     """
     jobs = [
-        (one_site, one_scenario, one_policy, seed)
+        (one_site, one_scenario, one_policy, seed, streams)
         for one_site in SIZES
         for one_scenario in SCENARIOS
         for one_policy in POLICIES
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -181,7 +181,7 @@
 def two_choices_sessions(key, candidates):
     """Return the better of two candidates by the flows this instance has there."""
     pair = random.Random(key).sample(candidates, min(2, len(candidates)))
-    return min(pair, key=lambda upstream: upstream.flows)
+    return min(pair, key=lambda upstream: upstream.active)
 
 
 def two_choices_busy(candidates):
--- a/lycheevalve/commands/client.py
+++ b/lycheevalve/commands/client.py
@@ -118,28 +118,21 @@
     """Return one Status from those of several instances."""
     best = max(answers, key=lambda status: status.configuration.revision)
     own = {status.instance: status for status in answers}
-    roles = {}
-    applied = {}
-    for status in answers:
-        for entry in status.instances:
-            if entry.name == status.instance:
-                roles[entry.name] = entry.role
-                applied[entry.name] = entry.applied
     merged = Status(
-        instance="",
         leader=next((s.leader for s in answers if s.leader), ""),
         accepted=max(status.accepted for status in answers),
         configuration=best.configuration,
         replicas=best.replicas,
     )
+    entries = {}
+    for status in answers:
+        for entry in status.instances:
+            # What an instance says of itself goes before what others say of it.
+            if entry.name == status.instance or entry.name not in entries:
+                entries[entry.name] = entry
     merged.instances = [
-        attrs.evolve(
-            entry,
-            role=roles.get(entry.name, entry.role),
-            applied=applied.get(entry.name, entry.applied),
-            state=entry.state if entry.name in own else f"{entry.state}, no answer",
-        )
-        for entry in best.instances
+        entry if name in own else attrs.evolve(entry, state=f"{entry.state}, no answer")
+        for name, entry in sorted(entries.items())
     ]
     merged.upstreams = merge_upstreams(answers)
     merged.burn = [window for status in answers for window in status.burn]
--- a/lycheevalve/config/process.py
+++ b/lycheevalve/config/process.py
@@ -14,6 +14,7 @@
     "site": Option(options.is_name),
     "address": Option(options.is_address),
     "peers": Option(options.is_list_of(options.is_peer)),
+    "bridges": Option(options.is_list_of(options.is_peer), []),
     "fabric": Option(options.is_list_of(options.is_address, 1)),
     "registry": Option(options.is_address),
     "key_file": Option(options.is_text),
@@ -44,11 +45,16 @@
 
 def check_relations(values, findings):
     """Check what several keys say together."""
-    names = [peer.partition("@")[0] for peer in values["peers"]]
+    listed = values["peers"] + values["bridges"]
+    names = [peer.partition("@")[0] for peer in listed]
+    if len(set(names)) < len(names):
+        findings.note("peers", "a name stands twice in peers and bridges")
     known = {*names, values["name"]}
     for replica in values["replicas"]:
         if replica not in known:
-            findings.add("replicas", replica, f"one of the peers: {', '.join(sorted(known))}")
+            findings.add(
+                "replicas", replica, f"one of the peers or bridges: {', '.join(sorted(known))}"
+            )
     if len(values["replicas"]) > MAX_REPLICAS:
         findings.add("replicas", values["replicas"], f"at most {MAX_REPLICAS} names")
     if len(values["replicas"]) % 2 == 0:
--- a/lycheevalve/config/site.py
+++ b/lycheevalve/config/site.py
@@ -21,7 +21,7 @@
     "idle_seconds": Option(options.is_integer(10, 604_800), 7200),
     "warm_up_seconds": Option(options.is_integer(0, 3600), 5),
     "retry_ratio": Option(options.is_number(0, 1), 0.1),
-    "balance": Option(options.is_number(1, 10), 1.05),
+    "balance": Option(options.is_number(1, 10), 1.02),
     "objective": Option(options.is_number(0.5, 0.999999), 0.999),
 }
 TOP_LEVEL = ("site", "defaults", "services")
--- a/lycheevalve/coordination/spreading.py
+++ b/lycheevalve/coordination/spreading.py
@@ -39,7 +39,8 @@
     The configuration that one instance holds and applies.
 
     `send(name, message)` sends; `neighbours()` names the live instances of the
-    own data centre and `others()` those of all, without this one;
+    own data centre and `others()` all that are known, without this one;
+    `bridges` are those outside the own group, whom no ping reaches;
     `apply(configuration, now)` puts a configuration in force.
     """
 
@@ -49,6 +50,7 @@
     apply: object
     random: object
     started_at: float
+    bridges: tuple = ()
     applied: Configuration = attrs.field(factory=Configuration)
     held: Configuration = attrs.field(factory=Configuration)
     changes: collections.deque = attrs.field(
@@ -147,6 +149,8 @@
         """Become ready, and repeat what may have been lost."""
         if not self.ready:
             self.become_ready(now)
+        if self.bridges:
+            self.send(self.random.choice(self.bridges), self.digest())
         behind = [
             name
             for name in self.others()
--- a/lycheevalve/flows/ownership.py
+++ b/lycheevalve/flows/ownership.py
@@ -35,10 +35,17 @@
     return column
 
 
-def rank(names):
-    """Return for each shard the indices of `names`, the best first (SHARDS x n)."""
-    matrix = numpy.stack([score_column(name) for name in names], axis=1)
-    return numpy.argsort(matrix, axis=1)[:, ::-1]
+def rank_shards(names, count):
+    """Return for each shard the best `count` of `names`, the best first."""
+    if not names:
+        return [[] for _ in range(SHARDS)]
+    scores = numpy.stack([score_column(name) for name in names], axis=1)
+    count = min(count, len(names))
+    # Only the best few need to be in order.
+    best = numpy.argpartition(scores, len(names) - count, axis=1)[:, -count:]
+    order = numpy.argsort(numpy.take_along_axis(scores, best, axis=1), axis=1)[:, ::-1]
+    best = numpy.take_along_axis(best, order, axis=1)
+    return numpy.array(names, dtype=object)[best].tolist()
 
 
 @attrs.define
@@ -82,18 +89,14 @@
 @lru_cache(maxsize=32)
 def compute_ownership(known):
     """Return the Ownership for (name, state) pairs; the result is shared."""
-    if not known:
-        return Ownership()
-    names = [name for name, _ in known]
-    alive = frozenset(name for name, state in known if state in OWNER_STATES)
-    reachable = {name for name, state in known if state < State.DEAD}
-    staying = {name for name, state in known if state != State.LEAVING}
-    result = Ownership(alive=alive)
-    for row in rank(names).tolist():
-        ranked = [names[index] for index in row]
-        living = [name for name in ranked if name in alive]
-        result.owners.append(living[0] if living else "")
-        result.seconds.append(living[1] if len(living) > 1 else "")
-        result.groups.append(tuple([n for n in ranked if n in staying][:CLAIM_GROUP]))
-        result.ranks.append(tuple(n for n in ranked if n in reachable)[:RANKS_KEPT])
-    return result
+    alive = [name for name, state in known if state in OWNER_STATES]
+    reachable = [name for name, state in known if state < State.DEAD]
+    staying = [name for name, state in known if state != State.LEAVING]
+    living = rank_shards(alive, 2)
+    return Ownership(
+        owners=[names[0] if names else "" for names in living],
+        seconds=[names[1] if len(names) > 1 else "" for names in living],
+        groups=list(map(tuple, rank_shards(staying, CLAIM_GROUP))),
+        alive=frozenset(alive),
+        ranks=list(map(tuple, rank_shards(reachable, RANKS_KEPT))),
+    )
--- a/lycheevalve/flows/placement.py
+++ b/lycheevalve/flows/placement.py
@@ -12,8 +12,6 @@
 import attrs
 import xxhash
 
-# Added to each bound, so that single flows don't exceed it.
-SLACK_FLOWS = 1
 HASH_RANGE = 2**64
 
 
@@ -55,14 +53,14 @@
         return None
     ranked = rank_upstreams(key, candidates)
     total_capacity = sum(capacities[upstream.index] for upstream in ranked)
-    flows_per_share = (sum(upstream.flows for upstream in ranked) + 1) / total_capacity
+    flows_per_share = (sum(upstream.active for upstream in ranked) + 1) / total_capacity
 
     def has_room(upstream):
         share = flows_per_share * capacities[upstream.index]
-        return upstream.flows < math.ceil(share * balance) + SLACK_FLOWS
+        return upstream.active < share * balance
 
     def fullness(upstream):
-        return upstream.flows / capacities[upstream.index]
+        return upstream.active / capacities[upstream.index]
 
     chosen = next(filter(has_room, ranked), None) or min(ranked, key=fullness)
     return Placement(chosen, chosen is ranked[0])
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -230,7 +230,7 @@
         exchange.silent_at = min(now + self.patience(exchange, now), exchange.deadline)
         upstream.outstanding += 1
         upstream.since_report += 1
-        self.pins.put(exchange.key, upstream.index, int(now))
+        self.pins.put(exchange.key, upstream, int(now))
         message = exchange.request.message
         coap.set_deadline(message, max(1, int((exchange.deadline - now) * 1000)))
         self.to_upstream(upstream, exchange.header + message.encode())
--- a/lycheevalve/flows/streams.py
+++ b/lycheevalve/flows/streams.py
@@ -57,7 +57,7 @@
         """Forward a packet of a flow that this instance owns."""
         upstream = self.find_pinned(key, service, now)
         if upstream is not None:
-            self.pins.touch(key, upstream.index, int(now))
+            self.pins.touch(key, upstream, int(now))
             self.to_upstream(upstream, datagram)
             return
         waiting = self.waiting.get(key)
@@ -79,9 +79,9 @@
 
     def restore_backup(self, key, now):
         """Pin a flow as the copy of a former owner says, if there is one."""
-        index = self.backups.pop(key, 0)
-        if index and not self.pins.get(key):
-            self.pins.put(key, index, int(now))
+        upstream = self.upstreams.by_index.get(self.backups.pop(key, 0))
+        if upstream is not None and not self.pins.get(key):
+            self.pins.put(key, upstream, int(now))
 
     def ask(self, key, service, previous, datagram, now):
         """Ask the instances that may have pinned the flow."""
@@ -110,7 +110,7 @@
         if message.known:
             upstream = self.upstreams.find(message.upstream, message.incarnation)
             if upstream is not None:
-                self.pins.put(message.key, upstream.index, int(now))
+                self.pins.put(message.key, upstream, int(now))
             self.release(message.key, now)
         elif not waiting.asked:
             self.release(message.key, now)
@@ -139,7 +139,7 @@
         if choice is None:
             return None
         self.observe("flows_lost" if self.pins.get(key) else "flows_placed")
-        self.pins.put(key, choice.upstream.index, int(now))
+        self.pins.put(key, choice.upstream, int(now))
         if not choice.on_rule:
             self.copy(key)
         return choice.upstream
--- a/lycheevalve/flows/transitions.py
+++ b/lycheevalve/flows/transitions.py
@@ -213,7 +213,7 @@
             if upstream is None:
                 continue
             for key in unpack_keys(group.keys):
-                self.take_pin(key, upstream.index, message.backup, now)
+                self.take_pin(key, upstream, message.backup, now)
         for key, holder in zip(message.claims, message.holders):
             self.claims.record(key, holder, now)
         if message.claims_complete:
@@ -222,12 +222,12 @@
             self.pins_from.discard(sender)
         self.handover.send(sender, PinsAck(message.number))
 
-    def take_pin(self, key, index, is_backup, now):
+    def take_pin(self, key, upstream, is_backup, now):
         """Take one pin; the own pin of a flow stands against another's."""
         if is_backup:
-            self.backups[key] = index
+            self.backups[key] = upstream.index
         elif not self.pins.get(key):
-            self.pins.put(key, index, int(now))
+            self.pins.put(key, upstream, int(now))
             self.backups.pop(key, None)
             self.to_sweep[key & SHARD_MASK] = None
 
@@ -288,7 +288,8 @@
         return result
 
     def expire_pins(self, services, now):
-        """Drop idle pins in some of the shards."""
+        """Drop idle pins in some of the shards, and count the active ones anew."""
+        self.pins.turn_window(now)
         idle = max((service.idle_seconds for service in services.values()), default=0)
         if not idle:
             return
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -41,6 +41,10 @@
     # What this instance has under way there.
     outstanding: int = 0
     flows: int = 0
+    # Streams seen in the last and the present window, and opened in this one.
+    seen_before: int = 0
+    seen: int = 0
+    opened: int = 0
     # Requests sent less requests finished since the last report.
     since_report: int = 0
     latency: float = 0.1
@@ -57,6 +61,11 @@
         """Return the name of the upstream's service."""
         return self.registration.service_name
 
+    @property
+    def active(self):
+        """Return how many streams of this instance it carries, see pins.py."""
+        return self.seen_before + self.opened
+
     def state(self, now):
         """Return the upstream's state at `now`."""
         if now >= self.expires_at or self.registration.leaving:
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -86,6 +86,8 @@
             state=State.JOINING,
         )
         self.peers = dict(peer.split("@", 1) for peer in settings.peers)
+        # Instances of other groups; only configurations pass between groups.
+        self.bridges = dict(peer.split("@", 1) for peer in settings.bridges)
         self.membership = Membership(me, self.send, self.view_changed, self.random)
         self.burn = BurnCounters()
         self.timers = Timers()
@@ -93,7 +95,8 @@
         self.spreading = Spreading(
             send=self.send,
             neighbours=self.live_neighbours,
-            others=self.live_others,
+            others=lambda: [*self.live_others(), *self.bridges],
+            bridges=tuple(self.bridges),
             apply=self.put_in_force,
             random=self.random,
             started_at=self.now,
@@ -104,7 +107,7 @@
         """Build the parts that handle callers' datagrams."""
         settings, me = self.settings, self.settings.name
         self.upstreams = Upstreams()
-        self.pins = Pins(self.count_flow)
+        self.pins = Pins(self.upstreams.by_index)
         self.claims = Claims(me, self.send, settings.takeover_seconds)
         self.transitions = Transitions(
             me=me,
@@ -207,7 +210,9 @@
     def address_of(self, name):
         """Return an instance's address as `ip:port`, or an empty text."""
         member = self.membership.members.get(name)
-        return member.address if member is not None else self.peers.get(name, "")
+        if member is not None:
+            return member.address
+        return self.peers.get(name, "") or self.bridges.get(name, "")
 
     # Datagrams of callers and upstreams.
 
@@ -232,9 +237,9 @@
 
     def relay(self, name, data):
         """Queue a datagram to another instance."""
-        member = self.membership.members.get(name)
-        if member is not None:
-            self.datagrams.append((data, parse_address(member.address)))
+        address = self.address_of(name)
+        if address:
+            self.datagrams.append((data, parse_address(address)))
 
     def relay_to_holder(self, name, datagram):
         """Queue a duplicate to the holder of its claim; return whether that lives."""
@@ -336,7 +341,8 @@
         if self.membership.me.state != State.JOINING:
             return ""
         alive = [member.name for member in self.membership.in_states(State.ALIVE)]
-        return self.random.choice(alive) if alive else ""
+        candidates = alive or sorted(self.peers)
+        return self.random.choice(candidates) if candidates else ""
 
     # The view and the configuration.
 
@@ -394,12 +400,6 @@
 
     # Counters.
 
-    def count_flow(self, index, step):
-        """Count a pinned flow at its upstream."""
-        upstream = self.upstreams.by_index.get(index)
-        if upstream is not None:
-            upstream.flows += step
-
     def describe_pin(self, key):
         """Return (address, incarnation) of a pin's upstream, or None."""
         upstream = self.upstreams.by_index.get(self.pins.get(key))
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -15,7 +15,7 @@
   5: i32 idle_seconds = 7200
   6: i32 warm_up_seconds = 5
   7: double retry_ratio = 0.1
-  8: double balance = 1.05
+  8: double balance = 1.02
   9: double objective = 0.999
 }
 
@@ -35,6 +35,7 @@
   13: i32 stop_seconds = 20
   14: i32 control_bytes_per_second = 4096
   15: i32 takeover_seconds = 60
+  16: list<string> bridges
 }
 
 struct Site {
--- a/lycheevalve/tests/test_flows.py
+++ b/lycheevalve/tests/test_flows.py
@@ -318,7 +318,7 @@
         owner = site.running[site.running["a1"].transitions.owner(key & SHARD_MASK)]
         foreign = owner.upstreams.by_address[next(iter(site.upstreams))]
         assert foreign.service == "nightsync"
-        owner.pins.put(key, foreign.index, int(site.now))
+        owner.pins.put(key, foreign, int(site.now))
         site.send(caller, "restreport", "stream", b"x")
         site.run(0.5)
         assert site.misrouted() == []
