Hand pins over without a gap; estimate load by a sample of all owners

Traced by key: (a) pins arrived at an instance that was no owner any more and stayed there; (b) packets that waited for an answer were placed after the shard had left; (c) a suspect that was joining counted as an owner, so its end marks came before it owned anything. Now: foreign pins are refused and go to the present owner before the end mark, pins are taken in the newest view, waiting packets follow the owner, and joining or leaving members are doubted, not suspect. Others' requests are now estimated from the own ones, reports fade in 0.1 s.

--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,136 @@
+"""
+Goodput and late answers against the offered load, with mechanisms left out.
+
+Simulated time; the offered load goes from 0.5 to 3 times what all slots can do.
+Callers that are not answered ask again with the same message. Prints JSON lines.
+"""
+
+import json
+from multiprocessing import Pool
+
+import attrs
+import fire
+from aiocoap.numbers import types
+
+from bench.placement import arrivals
+from bench.policies import POLICIES, Policy, replace_methods
+from bench.simulation import SIZES, Simulation
+from lycheevalve.flows import coap
+
+RUN_SECONDS = 20.0
+WARM_UP_SECONDS = 4.0
+LOADS = (0.5, 0.8, 1.0, 1.5, 2.0, 3.0)
+
+
+def without_admission(instance):
+    """Queue everything for as long as its deadline lasts."""
+
+    def is_hopeful(self, exchange, candidates, ahead, now):
+        return bool(candidates) and now < exchange.deadline
+
+    replace_methods(instance.requests, is_hopeful=is_hopeful)
+
+
+def without_retry_budget(instance):
+    """Let every failed request go to another upstream."""
+    instance.requests.budgets["bench"] = Unlimited()
+
+
+class Unlimited:
+    """A retry budget without a bound."""
+
+    def earn(self):
+        """Count nothing."""
+
+    def spend(self):
+        """Allow every retry."""
+        return True
+
+
+def without_deadlines(instance):
+    """Tell upstreams nothing of the time that is left, and cancel nothing."""
+
+    def to_upstream(upstream, datagram):
+        message = coap.decode_message(datagram[28:])
+        if message.mtype is types.RST:
+            return
+        instance.to_upstream(upstream, datagram)
+
+    instance.requests.to_upstream = to_upstream
+
+
+VARIANTS = {
+    "all": POLICIES["chosen"],
+    "no_admission": Policy("no_admission", without_admission),
+    "no_retry_budget": Policy("no_retry_budget", without_retry_budget),
+    "no_deadlines": Policy("no_deadlines", without_deadlines),
+}
+
+
+def run(job):
+    """Run one site, variant and load; return the JSON line."""
+    site, variant, load, seed = job
+    size = attrs.evolve(SIZES[site], streams=0)
+    simulation = Simulation(size, VARIANTS[variant], seed)
+    simulation.settle()
+    capacity = size.slots * size.upstreams / size.service_seconds
+    for step in range(int(RUN_SECONDS * 100)):
+        if step == int(WARM_UP_SECONDS * 100):
+            simulation.outcomes.clear()
+        for _ in range(arrivals(simulation, capacity * load)):
+            simulation.ask(simulation.load.random() < 0.5)
+        simulation.step()
+    outcomes = simulation.outcomes
+    measured = RUN_SECONDS - WARM_UP_SECONDS
+    asked = max(1, outcomes["asked"])
+    return {
+        "bench": "requests",
+        "site": site,
+        "variant": variant,
+        "load": load,
+        "goodput": round(outcomes["good"] / measured / capacity, 3),
+        "late": round(outcomes["late"] / asked, 4),
+        "unknown": round(outcomes["unknown"] / asked, 4),
+        "refused": round(outcomes["refused"] / asked, 4),
+        "refused_within_100ms": round(
+            outcomes["refused_within_100ms"] / max(1, outcomes["refused"]), 3
+        ),
+    }
+
+
+def requests(seed=1, site="", workers=8):
+    """
+    Run all loads and variants for both sites.
+
+    Example: scripts/bench requests --site lagos
+    """
+    jobs = [
+        (one_site, variant, load, seed)
+        for one_site in SIZES
+        for variant in VARIANTS
+        for load in LOADS
+        if site in ("", one_site)
+    ]
+    with Pool(workers) as pool:
+        lines = list(pool.imap(run, jobs))
+    for line in lines:
+        print(json.dumps(line))
+    for one_site in sorted({line["site"] for line in lines}):
+        for variant in VARIANTS:
+            chosen = [x for x in lines if x["site"] == one_site and x["variant"] == variant]
+            best = max(line["goodput"] for line in chosen)
+            last = chosen[-1]
+            summary = {
+                "bench": "requests",
+                "part": "summary",
+                "site": one_site,
+                "variant": variant,
+                "goodput_at_3_over_peak": round(last["goodput"] / best, 3),
+                "late_at_3": last["late"],
+                "wanted_over_peak": 0.9,
+            }
+            print(json.dumps(summary))
+
+
+if __name__ == "__main__":
+    fire.Fire(requests, serialize=lambda _: None)
--- a/lycheevalve/coordination/membership.py
+++ b/lycheevalve/coordination/membership.py
@@ -64,6 +64,8 @@
     random: object
     members: dict[str, Member] = attrs.field(factory=dict)
     state_since: dict[str, float] = attrs.field(factory=dict)
+    # Since when joining and leaving members have not answered.
+    doubts: dict[str, float] = attrs.field(factory=dict)
     outstanding: dict[int, Outstanding] = attrs.field(factory=dict)
     gossip_left: dict[str, int] = attrs.field(factory=dict)
     round: list[str] = attrs.field(factory=list)
@@ -158,15 +160,24 @@
     def suspect(self, name, now):
         """Mark a member as suspect unless it is that or worse already."""
         member = self.members.get(name)
-        if member is not None and member.state < State.SUSPECT:
+        if member is None or member.state >= State.SUSPECT:
+            return
+        if member.state == State.ALIVE:
             self.set_state(member, State.SUSPECT, now)
+        else:
+            # It must not count as an owner, as a suspect that was alive does.
+            self.doubts.setdefault(name, now)
 
     def suspect_to_dead(self, now):
-        """Declare dead what has been suspect for long enough."""
+        """Declare dead what has been suspect or doubted for long enough."""
         limit = PERIOD_SECONDS * SUSPICION_PERIODS
-        for member in self.in_states(State.SUSPECT):
-            if now - self.state_since.get(member.name, now) >= limit:
-                self.set_state(member, State.DEAD, now)
+        since = {
+            m.name: self.state_since.get(m.name, now) for m in self.in_states(State.SUSPECT)
+        }
+        for name, start in [*since.items(), *self.doubts.items()]:
+            if now - start >= limit:
+                self.doubts.pop(name, None)
+                self.set_state(self.members[name], State.DEAD, now)
 
     def set_state(self, member, state, now):
         """Change a member's state and spread it."""
@@ -215,6 +226,7 @@
         ping = self.outstanding.pop(message.number, None)
         if ping is None:
             return
+        self.doubts.pop(ping.target, None)
         if ping.origin:
             self.send(ping.origin, Ack(ping.origin_number, []))
 
@@ -237,6 +249,7 @@
         if known is not None and not self.is_newer(news, known):
             return False
         self.members[news.name] = attrs.evolve(news)
+        self.doubts.pop(news.name, None)
         self.state_since[news.name] = now
         self.spread(news.name)
         return True
--- a/lycheevalve/flows/handover.py
+++ b/lycheevalve/flows/handover.py
@@ -17,6 +17,7 @@
 # Payload bytes of one key, for the budget.
 KEY_BYTES = 9
 RETRY_SECONDS = 0.1
+REFUSED_SECONDS = 0.05
 BURST_BYTES = 65536
 
 
@@ -45,6 +46,8 @@
     # End marks to send once the queues are empty.
     claims_complete: bool = False
     pins_complete: bool = False
+    # Until its receiver has followed the view that this instance has.
+    paused_until: float = 0.0
     # The chunk that waits for its ack: (message, keys to drop, time sent).
     waiting: tuple | None = None
 
@@ -61,12 +64,14 @@
     The transfers of one instance.
 
     `describe(key)` returns (address, incarnation) of a key's upstream or None,
-    `dropped(key)` is called when a moved pin has arrived.
+    `dropped(key)` is called when a moved pin has arrived, `refused(key)` when the
+    receiver does not own its shard.
     """
 
     send: object
     describe: object
     dropped: object
+    refused: object
     budget: Budget
     transfers: dict[str, Transfer] = attrs.field(factory=dict)
     number: int = 0
@@ -90,9 +95,14 @@
         for name, transfer in self.transfers.items():
             if transfer.waiting is not None:
                 self.repeat(name, transfer, now)
-            if transfer.waiting is None and self.budget.level > 0:
+            if self.may_send(transfer, now):
                 self.send_next(name, transfer, now)
 
+    def may_send(self, transfer, now):
+        """Return whether the next chunk of a transfer may go."""
+        idle = transfer.waiting is None and now >= transfer.paused_until
+        return idle and self.budget.level > 0
+
     def repeat(self, name, transfer, now):
         """Send the chunk under way once more when its ack is late."""
         message, moved, sent_at = transfer.waiting
@@ -159,9 +169,12 @@
         if chunk.number != message.number:
             return
         transfer.waiting = None
+        refused = set(message.refused)
         for key in moved:
-            self.dropped(key)
-        if self.budget.level > 0:
+            (self.refused if key in refused else self.dropped)(key)
+        if refused:
+            transfer.paused_until = now + REFUSED_SECONDS
+        if self.may_send(transfer, now):
             self.send_next(sender, transfer, now)
 
 
--- a/lycheevalve/flows/limits.py
+++ b/lycheevalve/flows/limits.py
@@ -1,15 +1,15 @@
 """
 Limits: estimates of load, admission by deadline, the retry budget.
 
-Reports are evidence with an age: they count less the older they are, and
-never less than what this instance itself has under way.
+Reports are evidence with an age: they soon give way to what this instance
+itself has under way, taken as a sample of all owners.
 """
 
 import math
 
 import attrs
 
-REPORT_HALF_LIFE_SECONDS = 2.0
+REPORT_HALF_LIFE_SECONDS = 0.1
 FAILURE_HALF_LIFE_SECONDS = 2.0
 MAX_FAILURES = 8.0
 MIN_LATENCY_SECONDS = 0.001
@@ -38,24 +38,37 @@
         return True
 
 
-def estimate_in_flight(upstream, now):
+def estimate_elsewhere(candidates, owners):
+    """
+    Return the requests that the other owners are thought to have at each upstream.
+
+    Flows are spread over the owners by hash, so the others have on average what
+    this instance has.
+    """
+    if not candidates:
+        return 0.0
+    own = sum(upstream.outstanding for upstream in candidates)
+    return own / len(candidates) * (owners - 1)
+
+
+def estimate_in_flight(upstream, now, elsewhere):
     """
     Return the requests an upstream is thought to hold.
 
-    The last report, discounted by its age and corrected by what this instance
-    has sent and seen finished since, but no less than its own outstanding.
+    What this instance has there, and of the others' what the last report showed,
+    which gives way to the estimate `elsewhere` as it ages.
     """
-    age = max(0.0, now - upstream.reported_at)
-    trust = 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+    trust = 0.5 ** (max(0.0, now - upstream.reported_at) / REPORT_HALF_LIFE_SECONDS)
     reported = upstream.registration.busy + upstream.registration.queued
-    since = reported * trust + upstream.since_report
-    return max(float(upstream.outstanding), since)
+    own_then = upstream.outstanding - upstream.since_report
+    others_then = max(0, reported - own_then)
+    return upstream.outstanding + trust * others_then + (1 - trust) * elsewhere
 
 
-def estimate_wait(upstream, now, ahead=0):
+def estimate_wait(upstream, now, elsewhere, ahead=0):
     """Return the seconds a request would wait there for a free slot."""
     slots = max(1, upstream.registration.slots)
-    excess = estimate_in_flight(upstream, now) + ahead + 1 - slots
+    excess = estimate_in_flight(upstream, now, elsewhere) + ahead + 1 - slots
     return max(0.0, excess) / slots * upstream.latency
 
 
@@ -87,9 +100,9 @@
     return upstream.failures * 0.5 ** ((now - upstream.failed_at) / FAILURE_HALF_LIFE_SECONDS)
 
 
-def can_finish(upstream, now, deadline, ahead=0):
+def can_finish(upstream, now, deadline, elsewhere, ahead=0):
     """Return whether an answer can be expected before `deadline`."""
-    return now + estimate_wait(upstream, now, ahead) + upstream.latency <= deadline
+    return now + estimate_wait(upstream, now, elsewhere, ahead) + upstream.latency <= deadline
 
 
 def spread_retry_after(wait_seconds, random):
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -23,6 +23,11 @@
 FIRST_SILENCE_SHARE = 0.5
 MAX_ATTEMPTS = 3
 MAX_QUEUE = 256
+# Requests sent to an upstream for each of its slots: some wait in its own queue,
+# so that its slots stay busy.
+REQUESTS_PER_SLOT = 2.5
+# What a refusal assumes when there is no upstream at all.
+NO_UPSTREAM_WAIT_SECONDS = 2.0
 UNKNOWN_RETRY_AFTER_SECONDS = 2
 
 
@@ -194,7 +199,7 @@
             self.continue_blocks(exchange, now)
             return
         candidates = self.candidates(exchange, now)
-        upstream = self.choose(exchange, self.with_room(candidates, now), now)
+        upstream = self.choose(exchange, self.with_room(exchange, candidates, now), now)
         queue = self.queue(exchange.service)
         if upstream is not None and not queue:
             self.dispatch(exchange, upstream, now)
@@ -235,13 +240,14 @@
         coap.set_deadline(message, max(1, int((exchange.deadline - now) * 1000)))
         self.to_upstream(upstream, exchange.header + message.encode())
 
-    @staticmethod
-    def patience(exchange, now):
+    def patience(self, exchange, now):
         """Return the seconds of silence after which a sent request is given up on."""
         upstream = exchange.upstream
         if not upstream.answers:
             return (exchange.deadline - now) * FIRST_SILENCE_SHARE
-        expected = upstream.latency + limits.estimate_wait(upstream, now)
+        expected = upstream.latency + limits.estimate_wait(
+            upstream, now, self.elsewhere(exchange, now)
+        )
         return max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * expected)
 
     def retry_or(self, exchange, now, give_up):
@@ -259,7 +265,8 @@
             return False
         if exchange.attempts >= MAX_ATTEMPTS:
             return False
-        if not limits.can_finish(upstream, now, exchange.deadline):
+        elsewhere = self.elsewhere(exchange, now)
+        if not limits.can_finish(upstream, now, exchange.deadline, elsewhere):
             return False
         return self.budget(exchange.service).spend()
 
@@ -299,7 +306,9 @@
         """Say at once that the request was not run, and when to come back."""
         candidates = self.candidates(exchange, now)
         ahead = len(self.queue(exchange.service)) / max(1, len(candidates))
-        wait = min((limits.estimate_wait(u, now, ahead) for u in candidates), default=2.0)
+        elsewhere = self.elsewhere(exchange, now)
+        waits = [limits.estimate_wait(u, now, elsewhere, ahead) for u in candidates]
+        wait = min(waits, default=NO_UPSTREAM_WAIT_SECONDS)
         retry_after = limits.spread_retry_after(wait, self.random)
         self.finish(exchange, State.REFUSED, coap.NOT_RUN, now, max_age=retry_after)
 
@@ -391,7 +400,7 @@
         while queue:
             exchange = queue[0]
             candidates = self.candidates(exchange, now)
-            upstream = self.choose(exchange, self.with_room(candidates, now), now)
+            upstream = self.choose(exchange, self.with_room(exchange, candidates, now), now)
             if not self.is_hopeful(exchange, candidates, 0, now):
                 queue.popleft()
                 self.happen(exchange, Event.HOPELESS, now)
@@ -432,14 +441,19 @@
         warm_up = exchange.service.warm_up_seconds
         return limits.choose_for_request(candidates, now, warm_up, self.random)
 
-    @staticmethod
-    def with_room(candidates, now):
+    def elsewhere(self, exchange, now):
+        """Return what the other owners are thought to have at each upstream."""
+        usable = self.upstreams.usable(exchange.service.name, now)
+        return limits.estimate_elsewhere(usable, self.owners())
+
+    def with_room(self, exchange, candidates, now):
         """Return those that have a free slot, or one to spare in their queue."""
+        elsewhere = self.elsewhere(exchange, now)
         return [
             upstream
             for upstream in candidates
-            if limits.estimate_in_flight(upstream, now)
-            < max(1, upstream.registration.slots) + 1
+            if limits.estimate_in_flight(upstream, now, elsewhere)
+            < max(1, upstream.registration.slots) * REQUESTS_PER_SLOT
         ]
 
     def is_hopeful(self, exchange, candidates, ahead, now):
@@ -448,7 +462,9 @@
             return False
         # The other owners' queues are as long as this one, as far as we know.
         share = ahead * self.owners() / len(candidates)
-        return any(limits.can_finish(u, now, exchange.deadline, share) for u in candidates)
+        elsewhere = self.elsewhere(exchange, now)
+        deadline = exchange.deadline
+        return any(limits.can_finish(u, now, deadline, elsewhere, share) for u in candidates)
 
     def queue(self, service):
         """Return the queue of a service."""
--- a/lycheevalve/flows/streams.py
+++ b/lycheevalve/flows/streams.py
@@ -37,6 +37,8 @@
     """
     The streams of one instance.
 
+    `reroute(datagram, now)` hands a packet to its owner, `is_owner(shard)` tells
+    whether that is this instance;
     `previous(shard)` names the instances to ask about flows of a shard, and
     `is_taken_over(shard, now)` tells whether the shard came here recently;
     `copy(key)` asks for a copy of a pin that the rule does not give.
@@ -48,6 +50,8 @@
     to_upstream: object
     send: object
     copy: object
+    is_owner: object
+    reroute: object
     previous: object
     is_taken_over: object
     observe: object
@@ -118,8 +122,14 @@
     def release(self, key, now):
         """Forward the packets that waited."""
         waiting = self.waiting.pop(key, None)
-        if waiting is not None:
+        if waiting is None:
+            return
+        if self.is_owner(key & SHARD_MASK):
             self.settle(key, waiting.service, waiting.packets, now)
+            return
+        # The shard has another owner by now, which must not find a pin here.
+        for datagram in waiting.packets:
+            self.reroute(datagram, now)
 
     def settle(self, key, service, packets, now):
         """Pin a flow by the best evidence there is, and forward its packets."""
--- a/lycheevalve/flows/transitions.py
+++ b/lycheevalve/flows/transitions.py
@@ -66,11 +66,15 @@
 
     def tick(self, now):
         """Follow changes of the view, hand over, and look for pins to copy."""
+        self.follow_news(now)
+        self.sweep(now)
+        self.handover.tick(now)
+
+    def follow_news(self, now):
+        """Follow the view if it has changed."""
         if self.dirty:
             self.dirty = False
             self.follow_view(now)
-        self.sweep(now)
-        self.handover.tick(now)
 
     def follow_view(self, now):
         """Compute the ownership anew and act on the difference."""
@@ -207,20 +211,23 @@
     # Handover.
 
     def handle_pins(self, sender, message, now):
-        """Take pins, claims or the end mark of another instance."""
+        """Take pins, claims or end marks of another instance."""
+        self.follow_news(now)
+        refused = []
         for group in message.pins:
             upstream = self.upstreams.find(group.upstream, group.incarnation)
-            if upstream is None:
-                continue
             for key in unpack_keys(group.keys):
-                self.take_pin(key, upstream, message.backup, now)
+                if not message.backup and self.owner(key & SHARD_MASK) != self.me:
+                    refused.append(key)
+                elif upstream is not None:
+                    self.take_pin(key, upstream, message.backup, now)
         for key, holder in zip(message.claims, message.holders):
             self.claims.record(key, holder, now)
         if message.claims_complete:
             self.waiting_for.discard(sender)
         if message.pins_complete:
             self.pins_from.discard(sender)
-        self.handover.send(sender, PinsAck(message.number))
+        self.handover.send(sender, PinsAck(message.number, refused))
 
     def take_pin(self, key, upstream, is_backup, now):
         """Take one pin; the own pin of a flow stands against another's."""
@@ -231,6 +238,12 @@
             self.backups.pop(key, None)
             self.to_sweep[key & SHARD_MASK] = None
 
+    def hand_again(self, key):
+        """Queue a pin that was refused for the present owner of its shard."""
+        owner = self.ownership.owners[key & SHARD_MASK]
+        if owner not in ("", self.me) and self.pins.get(key):
+            self.handover.transfer(owner).moves.append(key)
+
     def copy(self, key):
         """Queue a copy of a pin for the second instance of its shard."""
         second = self.ownership.seconds[key & SHARD_MASK]
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -28,6 +28,7 @@
     RELAY,
     FrontDoorEntry,
     Router,
+    split_packet,
 )
 from lycheevalve.flows.streams import Streams
 from lycheevalve.flows.transitions import Transitions
@@ -119,6 +120,7 @@
                 send=self.send,
                 describe=self.describe_pin,
                 dropped=self.pins.drop,
+                refused=lambda key: self.transitions.hand_again(key),
                 budget=Budget(settings.control_bytes_per_second),
             ),
             peers=tuple(self.peers),
@@ -133,6 +135,10 @@
             to_upstream=self.to_upstream,
             send=self.send,
             copy=self.transitions.copy,
+            is_owner=lambda shard: self.transitions.owner(shard) == me,
+            reroute=lambda datagram, now: self.router.handle_caller(
+                split_packet(datagram), 0, now
+            ),
             previous=self.transitions.previous_owners,
             is_taken_over=self.transitions.is_taken_over,
             observe=self.count,
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -154,6 +154,8 @@
 
 struct PinsAck {
   1: i64 number
+  // Keys whose shards the receiver does not own.
+  2: list<i64> refused
 }
 
 struct Digest {
