Split requests, admission, exchanges and leases into modules of their own

Change: exchanges (states and events), admission (who may take a request, whether in time, when to try again), leases (spreading of announcements); behaviour as before.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -162,7 +162,7 @@
     def chosen(self, exchange, candidates, now):
         return choose(exchange, candidates, now) if candidates else None
 
-    replace_methods(instance.requests, choose=chosen)
+    replace_methods(instance.requests.admission, choose=chosen)
 
 
 def least_reported_sessions(key, candidates):
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -28,12 +28,12 @@
     def is_hopeful(self, exchange, candidates, ahead, now):
         return bool(candidates) and now < exchange.deadline
 
-    replace_methods(instance.requests, is_hopeful=is_hopeful)
+    replace_methods(instance.requests.admission, is_hopeful=is_hopeful)
 
 
 def without_retry_budget(instance):
     """Let every failed request go to another upstream."""
-    instance.requests.budgets["bench"] = Unlimited()
+    instance.requests.admission.budgets["bench"] = Unlimited()
 
 
 class Unlimited:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -207,7 +207,7 @@
     def announce(self, registration):
         """Let an announcement reach one instance, whole or cut."""
         live = sorted(set(self.running) - self.frozen - self.leaving)
-        self.running[self.random.choice(live)].announce(registration, self.now)
+        self.running[self.random.choice(live)].leases.announce(registration, self.now)
 
     def run_upstream(self, address, upstream):
         """Announce when it is time, and answer what is done."""
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -7,93 +7,18 @@
 """
 
 import collections
-import enum
 
 import attrs
 from aiocoap.numbers import codes, types
 
 from lycheevalve.flows import coap, limits
+from lycheevalve.flows.exchanges import Event, Exchange, State
 from lycheevalve.flows.keys import claim_key, flow_key, request_key
 
-# A sent request is given up on after this many times the expected latency ...
-SILENCE_FACTOR = 8.0
-# ... but not before this many seconds; of an upstream whose latency is not
-# known yet, after this share of the time that is left.
-MIN_SILENCE_SECONDS = 1.0
-FIRST_SILENCE_SHARE = 0.5
-MAX_ATTEMPTS = 3
 MAX_QUEUE = 256
-# Requests sent to an upstream for each of its slots: some wait in its own queue,
-# so that its slots stay busy.
-REQUESTS_PER_SLOT = 2.5
-# What a refusal assumes when there is no upstream at all.
-NO_UPSTREAM_WAIT_SECONDS = 2.0
 UNKNOWN_RETRY_AFTER_SECONDS = 2
 
 
-class State(enum.Enum):
-    """The state of an exchange."""
-
-    NEW = "new"
-    CLAIMING = "claiming"
-    QUEUED = "queued"
-    SENT = "sent"
-    ANSWERED = "answered"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-    # Another instance holds the claim and answers.
-    ELSEWHERE = "elsewhere"
-
-
-class Event(enum.Enum):
-    """What can happen to an exchange."""
-
-    ARRIVED = "arrived"
-    ORPHANED = "orphaned"
-    CLAIMED = "claimed"
-    TAKEN = "taken"
-    UNCLAIMED = "unclaimed"
-    ROOM = "room"
-    HOPELESS = "hopeless"
-    ANSWER = "answer"
-    SHED = "shed"
-    SILENCE = "silence"
-    GONE = "gone"
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """One request of a caller and its fate; times in seconds."""
-
-    endpoints: bytes
-    header: bytes
-    request: coap.Request
-    service: object
-    key: int
-    arrived_at: float
-    deadline: float
-    datagram: bytes
-    state: State = State.NEW
-    upstream: object = None
-    sent_at: float = 0.0
-    silent_at: float = 0.0
-    attempts: int = 0
-    tried: set[int] = attrs.field(factory=set)
-    holder: str = ""
-    reply: bytes = b""
-    expires_at: float = 0.0
-
-    @property
-    def identity(self):
-        """Return what duplicates of the request share."""
-        return self.endpoints, self.request.message_id
-
-    @property
-    def is_final(self):
-        """Return whether the exchange has its final answer."""
-        return self.state in (State.ANSWERED, State.REFUSED, State.UNKNOWN)
-
-
 @attrs.define
 class Requests:
     """
@@ -111,14 +36,13 @@
     to_caller: object
     relay: object
     group: object
-    owners: object
+    admission: object
     observe: object
     random: object
     lifetime: float
     exchanges: dict = attrs.field(factory=dict)
     by_token: dict = attrs.field(factory=dict)
     queues: dict = attrs.field(factory=dict)
-    budgets: dict = attrs.field(factory=dict)
 
     def handle_request(self, packet, service, now, directed=False):
         """
@@ -177,8 +101,7 @@
 
     def arrive(self, exchange, now):
         """Claim a non-idempotent request, admit others."""
-        budget = self.budget(exchange.service)
-        budget.earn()
+        self.admission.budget(exchange.service).earn()
         if exchange.request.idempotent:
             self.admit(exchange, now)
             return
@@ -198,12 +121,14 @@
         if exchange.request.continues:
             self.continue_blocks(exchange, now)
             return
-        candidates = self.candidates(exchange, now)
-        upstream = self.choose(exchange, self.with_room(exchange, candidates, now), now)
+        candidates = self.admission.candidates(exchange, now)
+        upstream = self.admission.choose_with_room(exchange, candidates, now)
         queue = self.queue(exchange.service)
         if upstream is not None and not queue:
             self.dispatch(exchange, upstream, now)
-        elif len(queue) < MAX_QUEUE and self.is_hopeful(exchange, candidates, len(queue), now):
+        elif len(queue) < MAX_QUEUE and self.admission.is_hopeful(
+            exchange, candidates, len(queue), now
+        ):
             exchange.state = State.QUEUED
             queue.append(exchange)
         else:
@@ -232,7 +157,9 @@
         exchange.sent_at = now
         exchange.attempts += 1
         exchange.tried.add(upstream.index)
-        exchange.silent_at = min(now + self.patience(exchange, now), exchange.deadline)
+        exchange.silent_at = min(
+            now + self.admission.patience(exchange, now), exchange.deadline
+        )
         upstream.outstanding += 1
         upstream.since_report += 1
         self.pins.put(exchange.key, upstream, int(now))
@@ -240,35 +167,14 @@
         coap.set_deadline(message, max(1, int((exchange.deadline - now) * 1000)))
         self.to_upstream(upstream, exchange.header + message.encode())
 
-    def patience(self, exchange, now):
-        """Return the seconds of silence after which a sent request is given up on."""
-        upstream = exchange.upstream
-        if not upstream.answers:
-            return (exchange.deadline - now) * FIRST_SILENCE_SHARE
-        expected = upstream.latency + limits.estimate_wait(
-            upstream, now, self.elsewhere(exchange, now)
-        )
-        return max(MIN_SILENCE_SECONDS, SILENCE_FACTOR * expected)
-
     def retry_or(self, exchange, now, give_up):
         """Send to another upstream within the budget, else `give_up`."""
-        upstream = self.choose(exchange, self.candidates(exchange, now), now)
-        if self.may_retry(exchange, upstream, now):
-            self.observe("retried")
-            self.dispatch(exchange, upstream, now)
-        else:
+        upstream = self.admission.choose_for_retry(exchange, now)
+        if upstream is None:
             give_up(exchange, now)
-
-    def may_retry(self, exchange, upstream, now):
-        """Return whether another attempt makes sense; that spends the budget."""
-        if upstream is None or exchange.request.continues:
-            return False
-        if exchange.attempts >= MAX_ATTEMPTS:
-            return False
-        elsewhere = self.elsewhere(exchange, now)
-        if not limits.can_finish(upstream, now, exchange.deadline, elsewhere):
-            return False
-        return self.budget(exchange.service).spend()
+            return
+        self.observe("retried")
+        self.dispatch(exchange, upstream, now)
 
     def handle_shed(self, exchange, now):
         """Take an upstream's word that it did not run the request."""
@@ -304,11 +210,8 @@
 
     def refuse(self, exchange, now):
         """Say at once that the request was not run, and when to come back."""
-        candidates = self.candidates(exchange, now)
-        ahead = len(self.queue(exchange.service)) / max(1, len(candidates))
-        elsewhere = self.elsewhere(exchange, now)
-        waits = [limits.estimate_wait(u, now, elsewhere, ahead) for u in candidates]
-        wait = min(waits, default=NO_UPSTREAM_WAIT_SECONDS)
+        ahead = len(self.queue(exchange.service))
+        wait = self.admission.expect_wait(exchange, ahead, now)
         retry_after = limits.spread_retry_after(wait, self.random)
         self.finish(exchange, State.REFUSED, coap.NOT_RUN, now, max_age=retry_after)
 
@@ -399,9 +302,9 @@
         """Dispatch queued requests in order; refuse those that are too late."""
         while queue:
             exchange = queue[0]
-            candidates = self.candidates(exchange, now)
-            upstream = self.choose(exchange, self.with_room(exchange, candidates, now), now)
-            if not self.is_hopeful(exchange, candidates, 0, now):
+            candidates = self.admission.candidates(exchange, now)
+            upstream = self.admission.choose_with_room(exchange, candidates, now)
+            if not self.admission.is_hopeful(exchange, candidates, 0, now):
                 queue.popleft()
                 self.happen(exchange, Event.HOPELESS, now)
             elif upstream is not None:
@@ -429,53 +332,10 @@
         waiting = (State.NEW, State.CLAIMING, State.QUEUED, State.SENT)
         return sum(exchange.state in waiting for exchange in self.exchanges.values())
 
-    # Choices.
-
-    def candidates(self, exchange, now):
-        """Return the upstreams that the exchange may go to and has not tried."""
-        usable = self.upstreams.usable(exchange.service.name, now)
-        return [upstream for upstream in usable if upstream.index not in exchange.tried]
-
-    def choose(self, exchange, candidates, now):
-        """Return the best of `candidates`, or None."""
-        warm_up = exchange.service.warm_up_seconds
-        return limits.choose_for_request(candidates, now, warm_up, self.random)
-
-    def elsewhere(self, exchange, now):
-        """Return what the other owners are thought to have at each upstream."""
-        usable = self.upstreams.usable(exchange.service.name, now)
-        return limits.estimate_elsewhere(usable, self.owners())
-
-    def with_room(self, exchange, candidates, now):
-        """Return those that have a free slot, or one to spare in their queue."""
-        elsewhere = self.elsewhere(exchange, now)
-        return [
-            upstream
-            for upstream in candidates
-            if limits.estimate_in_flight(upstream, now, elsewhere)
-            < max(1, upstream.registration.slots) * REQUESTS_PER_SLOT
-        ]
-
-    def is_hopeful(self, exchange, candidates, ahead, now):
-        """Return whether some candidate can still answer in time."""
-        if not candidates:
-            return False
-        # The other owners' queues are as long as this one, as far as we know.
-        share = ahead * self.owners() / len(candidates)
-        elsewhere = self.elsewhere(exchange, now)
-        deadline = exchange.deadline
-        return any(limits.can_finish(u, now, deadline, elsewhere, share) for u in candidates)
-
     def queue(self, service):
         """Return the queue of a service."""
         return self.queues.setdefault(service.name, collections.deque())
 
-    def budget(self, service):
-        """Return the retry budget of a service."""
-        if service.name not in self.budgets:
-            self.budgets[service.name] = limits.RetryBudget(service.retry_ratio)
-        return self.budgets[service.name]
-
 
 TRANSITIONS = {
     (State.NEW, Event.ARRIVED): Requests.arrive,
--- a/lycheevalve/flows/transitions.py
+++ b/lycheevalve/flows/transitions.py
@@ -9,7 +9,7 @@
 import attrs
 
 from lycheevalve.coordination.membership import State
-from lycheevalve.flows.handover import unpack_keys
+from lycheevalve.flows.handover import Handover, unpack_keys
 from lycheevalve.flows.keys import SHARD_MASK, SHARDS, is_request_key
 from lycheevalve.flows.ownership import Ownership
 from lycheevalve.flows.placement import find_rule_choice
@@ -33,7 +33,8 @@
     upstreams: object
     pins: object
     claims: object
-    handover: object
+    send: object
+    budget: object
     peers: tuple
     takeover_seconds: float
     started_at: float
@@ -48,6 +49,7 @@
     pins_from: set[str] = attrs.field(factory=set)
     owners_before: frozenset = frozenset()
     joined_at: float = attrs.field(init=False)
+    handover: Handover = attrs.field(init=False)
     dirty: bool = True
     expire_at: int = 0
     # The upstreams that the rule chose from when it was last looked at.
@@ -61,6 +63,13 @@
     def __attrs_post_init__(self):
         self.waiting_for = {name for name in self.peers if name != self.me}
         self.joined_at = self.started_at
+        self.handover = Handover(
+            send=self.send,
+            describe=self.describe_pin,
+            dropped=self.pins.drop,
+            refused=self.hand_again,
+            budget=self.budget,
+        )
 
     # The view.
 
@@ -210,6 +219,13 @@
 
     # Handover.
 
+    def describe_pin(self, key):
+        """Return (address, incarnation) of a pin's upstream, or None."""
+        upstream = self.upstreams.by_index.get(self.pins.get(key))
+        if upstream is None:
+            return None
+        return upstream.registration.address, upstream.registration.incarnation
+
     def handle_pins(self, sender, message, now):
         """Take pins, claims or end marks of another instance."""
         self.follow_news(now)
@@ -227,7 +243,7 @@
             self.waiting_for.discard(sender)
         if message.pins_complete:
             self.pins_from.discard(sender)
-        self.handover.send(sender, PinsAck(message.number, refused))
+        self.send(sender, PinsAck(message.number, refused))
 
     def take_pin(self, key, upstream, is_backup, now):
         """Take one pin; the own pin of a flow stands against another's."""
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -17,8 +17,10 @@
 from lycheevalve.coordination.spreading import Spreading
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.exceptions import DatagramError
+from lycheevalve.flows.admission import Admission
 from lycheevalve.flows.claims import Claims
-from lycheevalve.flows.handover import Budget, Handover
+from lycheevalve.flows.handover import Budget
+from lycheevalve.flows.leases import Leases
 from lycheevalve.flows.ownership import Ownership
 from lycheevalve.flows.pins import Pins
 from lycheevalve.flows.requests import Requests
@@ -71,7 +73,6 @@
     datagrams: list = attrs.field(factory=list)
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
-    pending_registrations: dict = attrs.field(factory=dict)
     # Whether another instance has told its members and upstreams.
     synced: bool = False
     left_at: float = 0.0
@@ -108,6 +109,7 @@
         """Build the parts that handle callers' datagrams."""
         settings, me = self.settings, self.settings.name
         self.upstreams = Upstreams()
+        self.leases = Leases(self.upstreams, self.send, self.live_others, self.random)
         self.pins = Pins(self.upstreams.by_index)
         self.claims = Claims(me, self.send, settings.takeover_seconds)
         self.transitions = Transitions(
@@ -116,13 +118,8 @@
             upstreams=self.upstreams,
             pins=self.pins,
             claims=self.claims,
-            handover=Handover(
-                send=self.send,
-                describe=self.describe_pin,
-                dropped=self.pins.drop,
-                refused=lambda key: self.transitions.hand_again(key),
-                budget=Budget(settings.control_bytes_per_second),
-            ),
+            send=self.send,
+            budget=Budget(settings.control_bytes_per_second),
             peers=tuple(self.peers),
             takeover_seconds=settings.takeover_seconds,
             started_at=self.now,
@@ -151,7 +148,7 @@
             to_caller=self.to_fabric,
             relay=self.relay_to_holder,
             group=self.transitions.claim_group,
-            owners=self.transitions.count_owners,
+            admission=Admission(self.upstreams, self.transitions.count_owners, self.random),
             observe=self.count,
             random=self.random,
             lifetime=settings.takeover_seconds,
@@ -167,7 +164,7 @@
             helper=self.find_helper,
             relay=self.relay,
             to_fabric=self.to_fabric,
-            announce=self.announce,
+            announce=self.leases.announce,
             observe=self.count,
         )
 
@@ -179,8 +176,8 @@
         timers.subscribe(VIEW_SECONDS, self.transitions.tick, now)
         timers.subscribe(PERIOD_SECONDS, self.membership.tick, now, self.random.random())
         timers.subscribe(SPREAD_SECONDS, self.spreading.tick, now, 0.0)
-        timers.subscribe(REGISTRATIONS_SECONDS, self.send_registrations, now)
-        timers.subscribe(LEASE_QUERY_SECONDS, self.query_leases, now)
+        timers.subscribe(REGISTRATIONS_SECONDS, self.leases.tell, now)
+        timers.subscribe(LEASE_QUERY_SECONDS, self.leases.query_late, now)
         timers.subscribe(SYNC_SECONDS, self.sync_peers, now, 0.0)
         timers.subscribe(JOIN_SECONDS, self.finish_joining, now)
         timers.subscribe(HOUSEKEEPING_SECONDS, self.keep_house, now)
@@ -277,37 +274,18 @@
     def handle_sync(self, sender, message, now):
         """Take another instance's members and upstreams; answer with the own."""
         self.membership.merge_all(message.members, now)
-        for registration in message.registrations:
-            self.upstreams.update(registration, now)
+        self.leases.take(message.registrations, now)
         if message.reply_wanted:
             self.send(sender, self.build_sync(now, False))
             self.transitions.welcome(sender)
         else:
             self.synced = True
 
-    def handle_registrations(self, sender, message, now):
-        """Take what upstreams told another instance."""
-        for registration in message.registrations:
-            self.upstreams.update(registration, now)
-
     def build_sync(self, now, reply_wanted):
         """Return all members and live upstreams."""
         members = list(self.membership.members.values())
         return messages.Sync(members, self.upstreams.live_leases(now), reply_wanted)
 
-    def query_leases(self, now):
-        """Ask another instance for leases that should have been renewed by now."""
-        late = self.upstreams.late_leases(now)
-        others = self.live_others()
-        if late and others:
-            self.send(self.random.choice(others), messages.LeaseQuery(late))
-
-    def handle_lease_query(self, sender, message, now):
-        """Answer with the leases that are known here."""
-        leases = self.upstreams.live_leases(now, message.addresses)
-        if leases:
-            self.send(sender, messages.Registrations(leases))
-
     def sync_peers(self, now):
         """Ask the peers for what this instance lacks until it is informed."""
         self.transitions.update_informed(now)
@@ -317,22 +295,6 @@
         for name in sorted(waiting):
             self.send(name, self.build_sync(now, True))
 
-    # Announcements of upstreams.
-
-    def announce(self, registration, now):
-        """Take an announcement and queue it for the other instances."""
-        if self.upstreams.update(registration, now):
-            self.pending_registrations[registration.address] = registration
-
-    def send_registrations(self, now):
-        """Tell the others what upstreams announced since the last call."""
-        if not self.pending_registrations:
-            return
-        registrations = list(self.pending_registrations.values())
-        self.pending_registrations = {}
-        for name in self.live_others():
-            self.send(name, messages.Registrations(registrations))
-
     def finish_joining(self, now):
         """Own shards once settings and upstreams are here."""
         if self.membership.me.state != State.JOINING or not self.spreading.ready:
@@ -406,13 +368,6 @@
 
     # Counters.
 
-    def describe_pin(self, key):
-        """Return (address, incarnation) of a pin's upstream, or None."""
-        upstream = self.upstreams.by_index.get(self.pins.get(key))
-        if upstream is None:
-            return None
-        return upstream.registration.address, upstream.registration.incarnation
-
     def count(self, name, *details):
         """Count an event; final answers also feed the burn report."""
         self.counters[name] = self.counters.get(name, 0) + 1
@@ -426,8 +381,8 @@
     messages.Ack: lambda self, *call: self.membership.handle_ack(*call),
     messages.PingRequest: lambda self, *call: self.membership.handle_ping_request(*call),
     messages.Sync: Instance.handle_sync,
-    messages.Registrations: Instance.handle_registrations,
-    messages.LeaseQuery: Instance.handle_lease_query,
+    messages.Registrations: lambda self, *call: self.leases.handle_registrations(*call),
+    messages.LeaseQuery: lambda self, *call: self.leases.handle_query(*call),
     messages.Claim: lambda self, *call: self.claims.handle_claim(*call),
     messages.ClaimAck: lambda self, *call: self.claims.handle_ack(*call),
     messages.PinQuery: lambda self, *call: self.streams.handle_query(*call),
--- a/lycheevalve/tests/fakes/site.py
+++ b/lycheevalve/tests/fakes/site.py
@@ -264,7 +264,7 @@
             place = registration.data_centre
             live = [n for n in live if self.running[n].settings.data_centre == place]
         if live:
-            self.running[self.random.choice(live)].announce(registration, self.now)
+            self.running[self.random.choice(live)].leases.announce(registration, self.now)
 
     def deliver(self, source, receiver, content):
         """Hand a datagram or message to its receiver."""
