Name the holder of a claim with its incarnation

The restarted a6 had been informed of the claims, among them its own former one, and the holder "a6" was taken for itself; the recorders agreed, since the sender had the same name. Ruled out: a lost claim (the recorder had it) and a recorder without memory (all were informed). Change: holders are name and incarnation; a duplicate is relayed only to the same incarnation. The new test failed before (2 runs instead of 1) and passes now; a mutant without the incarnation stands for it. Conclusion: names of processes are no identities.

--- a/bench/control.py
+++ b/bench/control.py
@@ -317,6 +317,7 @@
         fit(lines, "membership", "nodes", "bytes_per_second"),
         fit(lines, "membership", "nodes", "cpu_share"),
         fit(lines, "spreading", "nodes", "bytes_per_change"),
+        fit(lines, "spreading", "nodes", "cpu_ms_per_change"),
         fit(lines, "spreading", "nodes", "in_force_seconds"),
         fit(lines, "ownership", "nodes", "cpu_ms_per_view"),
         fit(lines, "ownership", "nodes", "bytes_held"),
--- a/bench/forward.py
+++ b/bench/forward.py
@@ -24,6 +24,7 @@
 from lycheevalve.utils.addresses import parse_address
 
 WINDOW = 256
+IDLE_SECONDS = 8.0
 PAYLOAD = bytes(64)
 BARE_RELAY = """
 import select, socket, sys
@@ -87,6 +88,19 @@
     }
 
 
+def measure_idle(process):
+    """Return what an instance spends without traffic."""
+    before, began = cpu_seconds(process.pid), time.monotonic()
+    time.sleep(IDLE_SECONDS)
+    used = cpu_seconds(process.pid) - before
+    return {
+        "bench": "forward",
+        "name": "idle",
+        "cpu_share": round(used / (time.monotonic() - began), 4),
+        "resident_bytes": resident_bytes(process.pid),
+    }
+
+
 def open_socket(address):
     """Return a bound non-blocking UDP socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -154,6 +168,7 @@
     announce(site, source, target, 1)
     time.sleep(4.0)
     process = site.processes["a1"]
+    print(json.dumps(measure_idle(process)))
     datagrams = build_datagrams(site, flows)
     before = resident_bytes(process.pid)
     placed = push(source, sink, target, datagrams, flows)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -172,6 +172,13 @@
         "        needed = 1",
         "test_claims.py",
     ),
+    Mutant(
+        "holders have no incarnation",
+        "flows/claims.py",
+        'return f"{name}#{incarnation}"',
+        'return f"{name}#1"',
+        f"{REQUESTS}::TestDuplicates",
+    ),
     Mutant(
         "duplicates are not known",
         "flows/requests.py",
--- a/lycheevalve/flows/claims.py
+++ b/lycheevalve/flows/claims.py
@@ -5,7 +5,8 @@
 has its claim recorded by two of the three members of the shard's claim group.
 Two instances that both think they own the shard share at least one recorder,
 which tells the later one who holds the claim. An instance that has lost its
-memory records nothing until it has been informed.
+memory records nothing until it has been informed. A holder is one incarnation of
+an instance: after a restart it must not take its former claims for its own.
 """
 
 import attrs
@@ -16,6 +17,17 @@
 GIVE_UP_SECONDS = 0.15
 
 
+def name_holder(name, incarnation):
+    """Return the holder that one incarnation of an instance is."""
+    return f"{name}#{incarnation}"
+
+
+def split_holder(holder):
+    """Return (name, incarnation) of a holder."""
+    name, _, incarnation = holder.rpartition("#")
+    return name, int(incarnation)
+
+
 @attrs.define
 class PendingClaim:
     """A claim that waits for its recorders."""
@@ -34,6 +46,7 @@
     """The claims that one instance records and those that it makes."""
 
     me: str
+    incarnation: int
     send: object
     lifetime: float
     held: dict[int, tuple[str, float]] = attrs.field(factory=dict)
@@ -41,22 +54,27 @@
     informed: bool = False
     number: int = 0
 
+    @property
+    def holder(self):
+        """Return this incarnation as the holder of claims."""
+        return name_holder(self.me, self.incarnation)
+
     def request(self, key, group, done, now):
         """
         Claim a request; call `done(holder, now)` once.
 
-        `holder` is this instance when the claim is recorded, another one's
-        name when that one has it, and empty when no quorum answered.
+        `holder` is this one when the claim is recorded, another one when that
+        has it, and empty when no quorum answered.
         """
-        holder = self.record(key, self.me, now)
-        if holder != self.me:
+        holder = self.record(key, self.holder, now)
+        if holder != self.holder:
             return done(holder, now)
         own = 1 if self.informed and self.me in group else 0
         needed = len(group) // 2 + 1
         others = {name for name in group if name != self.me}
         claim = PendingClaim(key, needed, others, done, now, now, own)
         if own >= needed:
-            return done(self.me, now)
+            return done(self.holder, now)
         self.pending[key] = claim
         self.ask(claim, now)
 
@@ -65,7 +83,7 @@
         claim.sent_at = now
         for name in sorted(claim.waiting):
             self.number += 1
-            self.send(name, Claim(self.number, [claim.key]))
+            self.send(name, Claim(self.number, [claim.key], self.holder))
 
     def record(self, key, holder, now):
         """Record a claim unless another one stands; return who holds it."""
@@ -79,8 +97,8 @@
         """Record another instance's claims and answer."""
         taken, holders = [], []
         for key in message.keys:
-            holder = self.record(key, sender, now)
-            if holder != sender:
+            holder = self.record(key, message.holder, now)
+            if holder != message.holder:
                 taken.append(key)
                 holders.append(holder)
         recorded = [key for key in message.keys if key not in taken]
@@ -98,7 +116,7 @@
             claim.waiting.discard(sender)
             claim.recorded += message.informed
             if claim.recorded >= claim.needed:
-                self.finish(key, self.me, now)
+                self.finish(key, self.holder, now)
             elif not claim.waiting:
                 self.finish(key, "", now)
 
@@ -107,7 +125,7 @@
         claim = self.pending.pop(key, None)
         if claim is None:
             return
-        if holder not in ("", self.me):
+        if holder not in ("", self.holder):
             self.held[key] = (holder, now + self.lifetime)
         claim.done(holder, now)
 
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -25,7 +25,7 @@
     The exchanges of one instance.
 
     `to_upstream(upstream, datagram)` and `to_caller(datagram)` send;
-    `relay(name, datagram)` hands a duplicate to the holder of its claim;
+    `relay(holder, datagram)` hands a duplicate to the holder of its claim;
     `group(key)` names the claim group and `count(name)` feeds the metrics.
     """
 
@@ -110,7 +110,7 @@
         key = claim_key(exchange.endpoints, request.message_id, request.token)
 
         def done(holder, at):
-            event = {"": Event.UNCLAIMED, self.claims.me: Event.CLAIMED}.get(holder)
+            event = {"": Event.UNCLAIMED, self.claims.holder: Event.CLAIMED}.get(holder)
             exchange.holder = holder
             self.happen(exchange, event or Event.TAKEN, at)
 
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -18,7 +18,7 @@
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.exceptions import DatagramError
 from lycheevalve.flows.admission import Admission
-from lycheevalve.flows.claims import Claims
+from lycheevalve.flows.claims import Claims, split_holder
 from lycheevalve.flows.handover import Budget
 from lycheevalve.flows.leases import Leases
 from lycheevalve.flows.ownership import Ownership
@@ -111,7 +111,7 @@
         self.upstreams = Upstreams()
         self.leases = Leases(self.upstreams, self.send, self.live_others, self.random)
         self.pins = Pins(self.upstreams.by_index)
-        self.claims = Claims(me, self.send, settings.takeover_seconds)
+        self.claims = Claims(me, self.incarnation, self.send, settings.takeover_seconds)
         self.transitions = Transitions(
             me=me,
             membership=self.membership,
@@ -244,9 +244,12 @@
         if address:
             self.datagrams.append((data, parse_address(address)))
 
-    def relay_to_holder(self, name, datagram):
+    def relay_to_holder(self, holder, datagram):
         """Queue a duplicate to the holder of its claim; return whether that lives."""
-        if not self.membership.is_reachable(name):
+        name, incarnation = split_holder(holder)
+        member = self.membership.members.get(name)
+        same = member is not None and member.incarnation == incarnation
+        if not same or not self.membership.is_reachable(name):
             return False
         self.relay(name, bytes((RELAY, DIRECTED)) + datagram)
         return True
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -113,6 +113,8 @@
 struct Claim {
   1: i64 number
   2: list<i64> keys
+  // Name and incarnation, as claims.py joins them.
+  3: string holder
 }
 
 struct ClaimAck {
--- a/lycheevalve/tests/test_claims.py
+++ b/lycheevalve/tests/test_claims.py
@@ -18,7 +18,7 @@
         self.outcomes = {}
         self.claims = {}
         for name in GROUP:
-            claims = Claims(name, self.sender(name), 60.0, informed=name not in uninformed)
+            claims = Claims(name, 1, self.sender(name), 60.0, informed=name not in uninformed)
             self.claims[name] = claims
 
     def sender(self, sender):
@@ -41,7 +41,7 @@
             handle(sender, message, now)
 
     def winners(self):
-        return [name for name, holder in self.outcomes.items() if holder == name]
+        return [name for name, holder in self.outcomes.items() if holder == f"{name}#1"]
 
 
 class TestQuorum:
@@ -53,7 +53,7 @@
         trio.ask("c")
         trio.run()
         assert trio.winners() == ["a"]
-        assert trio.outcomes["c"] == "a"
+        assert trio.outcomes["c"] == "a#1"
 
     def test_any_order_and_any_cut_gives_one_winner_at_most(self):
         pairs = list(itertools.combinations(GROUP, 2))
@@ -86,7 +86,7 @@
         trio.run()
         trio.ask("b")
         trio.run()
-        assert trio.outcomes == {"a": "a", "b": "a"}
+        assert trio.outcomes == {"a": "a#1", "b": "a#1"}
 
     def test_claims_end_with_their_lifetime(self):
         trio = Trio()
--- a/lycheevalve/tests/test_requests.py
+++ b/lycheevalve/tests/test_requests.py
@@ -215,6 +215,24 @@
         assert ledger.runs()[name] == 1
         assert answer_codes(site, caller) == [codes.GATEWAY_TIMEOUT]
 
+    def test_owner_that_restarts_does_not_take_its_former_claim_for_its_own(self):
+        site, ledger = start(13)
+        for upstream in site.upstreams.values():
+            upstream.delay = 30.0
+        caller = ("10.5.0.1", 5000)
+        name = ledger.ask(caller, 7)
+        site.run(0.2)
+        owner = next(n for n in site.names if site.running[n].requests.unfinished())
+        site.kill(owner)
+        site.run(2.0)
+        site.start(owner)
+        site.run(4.0)
+        assert site.running[owner].claims.informed
+        ledger.repeat(name)
+        site.run(0.5)
+        assert ledger.runs()[name] == 1
+        assert answer_codes(site, caller) == [codes.GATEWAY_TIMEOUT]
+
 
 class TestGivingUp:
     """Requests that are given up on get their final answer at once."""
