Survive a restart right after a death; refer queries to the present owner; docs

Pins off the rule were only in the copies, and the restarted owner placed the rest by loads. Copies of a shard that was taken over become pins at once; an instance is told that its former life was lost and then follows the rule alone. Answers now name the owner as the answerer sees it. Also: copies are made again hourly and dropped after two (they were kept for ever); sent exchanges stand in a table of their own (the tick walked over all exchanges of the last minute, 50 times a second); the token is part of a request's identity.

--- /dev/null
+++ b/examples/embed_log.py
@@ -0,0 +1,51 @@
+"""
+Embed the replicated log: three replicas in one process, joined by a list.
+
+A real owner writes and syncs what the effects say before it sends, for example
+with `lycheevalve.coordination.storage.Storage.write`.
+"""
+
+import random
+
+from lycheevalve.coordination import consensus
+from lycheevalve.coordination.storage import Stored
+from lycheevalve.schema.generated.messages import Change
+
+NAMES = ["one", "two", "three"]
+STEP_SECONDS = 0.05
+
+
+def carry_out(replica, queue, results):
+    """Do what a replica asks for; the disk is left out here."""
+    effects = replica.take_effects()
+    queue += [(replica.name, receiver, message) for receiver, message in effects.sends]
+    results += effects.results
+
+
+def main():
+    """Elect a leader, have one change accepted, print the answer of each replica."""
+    seeded = random.Random(1)
+    replicas = {
+        name: consensus.start_replica(name, NAMES, seeded, Stored(), 0.0) for name in NAMES
+    }
+    queue, results, now, proposed = [], [], 0.0, False
+    while len(results) < len(NAMES):
+        now += STEP_SECONDS
+        for replica in replicas.values():
+            consensus.tick(replica, now)
+            carry_out(replica, queue, results)
+        for replica in replicas.values():
+            if not proposed and consensus.can_propose(replica, now):
+                consensus.propose(replica, Change("first", 0, author="example"), now)
+                carry_out(replica, queue, results)
+                proposed = True
+        messages, queue = queue, []
+        for sender, receiver, message in messages:
+            consensus.handle(replicas[receiver], sender, message, now)
+            carry_out(replicas[receiver], queue, results)
+    for result in results:
+        print(f"{result.change_id}: accepted at revision {result.revision}")
+
+
+if __name__ == "__main__":
+    main()
--- a/lycheevalve/flows/exchanges.py
+++ b/lycheevalve/flows/exchanges.py
@@ -37,6 +37,11 @@
     GONE = "gone"
 
 
+def identify(endpoints, request):
+    """Return what duplicates of a request share."""
+    return endpoints, request.message_id, request.token
+
+
 @attrs.define(eq=False)
 class Exchange:
     """One request of a caller and its fate; times in seconds."""
@@ -62,7 +67,7 @@
     @property
     def identity(self):
         """Return what duplicates of the request share."""
-        return self.endpoints, self.request.message_id
+        return identify(self.endpoints, self.request)
 
     @property
     def is_final(self):
--- a/lycheevalve/flows/handover.py
+++ b/lycheevalve/flows/handover.py
@@ -46,6 +46,7 @@
     # End marks to send once the queues are empty.
     claims_complete: bool = False
     pins_complete: bool = False
+    former_life_lost: bool = False
     # Until its receiver has followed the view that this instance has.
     paused_until: float = 0.0
     # The chunk that waits for its ack: (message, keys to drop, time sent).
@@ -131,6 +132,7 @@
         else:
             message.claims_complete = transfer.claims_complete
             message.pins_complete = transfer.pins_complete
+            message.former_life_lost = transfer.former_life_lost
             transfer.claims_complete = transfer.pins_complete = False
         transfer.waiting = (message, moved, now)
         self.spend(message)
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -12,7 +12,7 @@
 from aiocoap.numbers import codes, types
 
 from lycheevalve.flows import coap, limits
-from lycheevalve.flows.exchanges import Event, Exchange, State
+from lycheevalve.flows.exchanges import Event, Exchange, State, identify
 from lycheevalve.flows.keys import claim_key, flow_key, request_key
 
 MAX_QUEUE = 256
@@ -42,6 +42,8 @@
     lifetime: float
     exchanges: dict = attrs.field(factory=dict)
     by_token: dict = attrs.field(factory=dict)
+    # The exchanges that wait for an upstream, by identity.
+    sent: dict = attrs.field(factory=dict)
     queues: dict = attrs.field(factory=dict)
 
     def handle_request(self, packet, service, now, directed=False):
@@ -57,7 +59,7 @@
             self.handle_empty(header, message)
             return
         request = coap.read_request(message)
-        known = self.exchanges.get((endpoints, request.message_id))
+        known = self.exchanges.get(identify(endpoints, request))
         if known is not None and known.expires_at > now:
             self.follow(known, now)
             return
@@ -160,6 +162,7 @@
         exchange.silent_at = min(
             now + self.admission.patience(exchange, now), exchange.deadline
         )
+        self.sent[exchange.identity] = exchange
         upstream.outstanding += 1
         upstream.since_report += 1
         self.pins.put(exchange.key, upstream, int(now))
@@ -240,6 +243,7 @@
 
     def release(self, exchange):
         """Stop counting an exchange as outstanding at its upstream."""
+        del self.sent[exchange.identity]
         exchange.upstream.outstanding -= 1
         exchange.upstream.since_report -= 1
 
@@ -284,9 +288,8 @@
 
     def tick(self, now):
         """Find silence and lost upstreams, then fill free slots from the queues."""
-        for exchange in list(self.exchanges.values()):
-            if exchange.state is State.SENT:
-                self.check_sent(exchange, now)
+        for exchange in list(self.sent.values()):
+            self.check_sent(exchange, now)
         for queue in self.queues.values():
             self.drain_queue(queue, now)
 
@@ -315,11 +318,11 @@
 
     def forget_old(self, now):
         """Drop the exchanges that no duplicate can reach any more."""
-        old = [x for x in self.exchanges.values() if x.is_final and x.expires_at <= now]
-        old += [
-            x
-            for x in self.exchanges.values()
-            if x.state is State.ELSEWHERE and x.expires_at <= now
+        old = [
+            exchange
+            for exchange in self.exchanges.values()
+            if exchange.expires_at <= now
+            and (exchange.is_final or exchange.state is State.ELSEWHERE)
         ]
         for exchange in old:
             del self.exchanges[exchange.identity]
--- a/lycheevalve/flows/streams.py
+++ b/lycheevalve/flows/streams.py
@@ -18,6 +18,7 @@
 # Packets kept for a flow whose pin is being asked for.
 WAITING_PACKETS = 16
 WAITING_FLOWS = 10_000
+NO_BACKUP = (0, 0.0)
 
 
 @attrs.define
@@ -25,7 +26,9 @@
     """Packets of a flow that wait for the answers about its pin."""
 
     service: object
+    # Who has not answered, and who was asked at all (with the empty name).
     asked: set[str]
+    told: set[str]
     since: float
     packets: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=WAITING_PACKETS)
@@ -37,8 +40,8 @@
     """
     The streams of one instance.
 
-    `reroute(datagram, now)` hands a packet to its owner, `is_owner(shard)` tells
-    whether that is this instance;
+    `reroute(datagram, now)` hands a packet to its owner, `owner(shard)` names
+    that;
     `previous(shard)` names the instances to ask about flows of a shard, and
     `is_taken_over(shard, now)` tells whether the shard came here recently;
     `copy(key)` asks for a copy of a pin that the rule does not give.
@@ -46,11 +49,12 @@
 
     upstreams: object
     pins: object
-    backups: dict[int, int]
+    backups: dict[int, tuple[int, float]]
     to_upstream: object
     send: object
     copy: object
-    is_owner: object
+    me: str
+    owner: object
     reroute: object
     previous: object
     is_taken_over: object
@@ -83,13 +87,16 @@
 
     def restore_backup(self, key, now):
         """Pin a flow as the copy of a former owner says, if there is one."""
-        upstream = self.upstreams.by_index.get(self.backups.pop(key, 0))
+        index, _ = self.backups.pop(key, NO_BACKUP)
+        upstream = self.upstreams.by_index.get(index)
         if upstream is not None and not self.pins.get(key):
             self.pins.put(key, upstream, int(now))
 
     def ask(self, key, service, previous, datagram, now):
         """Ask the instances that may have pinned the flow."""
-        waiting = self.waiting[key] = Waiting(service, set(previous), now)
+        waiting = self.waiting[key] = Waiting(
+            service, set(previous), {*previous, self.me, ""}, now
+        )
         waiting.packets.append(datagram)
         self.observe("pin_queries")
         for name in previous:
@@ -99,7 +106,9 @@
         """Tell what this instance knows of a flow."""
         upstream = self.upstreams.by_index.get(self.pins.get(message.key))
         if upstream is None:
-            self.send(sender, PinAnswer(message.key, False))
+            owner = self.owner(message.key & SHARD_MASK)
+            third = owner if owner not in (sender, self.me) else ""
+            self.send(sender, PinAnswer(message.key, False, owner=third))
             return
         registration = upstream.registration
         answer = PinAnswer(message.key, True, registration.address, registration.incarnation)
@@ -116,7 +125,13 @@
             if upstream is not None:
                 self.pins.put(message.key, upstream, int(now))
             self.release(message.key, now)
-        elif not waiting.asked:
+            return
+        if message.owner not in waiting.told:
+            # A leaving instance may have handed the shard to a third one.
+            waiting.told.add(message.owner)
+            waiting.asked.add(message.owner)
+            self.send(message.owner, PinQuery(message.key))
+        if not waiting.asked:
             self.release(message.key, now)
 
     def release(self, key, now):
@@ -124,7 +139,7 @@
         waiting = self.waiting.pop(key, None)
         if waiting is None:
             return
-        if self.is_owner(key & SHARD_MASK):
+        if self.owner(key & SHARD_MASK) == self.me:
             self.settle(key, waiting.service, waiting.packets, now)
             return
         # The shard has another owner by now, which must not find a pin here.
--- a/lycheevalve/flows/transitions.py
+++ b/lycheevalve/flows/transitions.py
@@ -19,6 +19,8 @@
 SWEEP_PINS = 500
 EXPIRE_SHARDS = 64
 RULE_CHECK_SECONDS = 0.25
+# All copies are made again this often; those that are twice as old are dropped.
+COPY_AGAIN_SECONDS = 3600.0
 # Idle time after which the pin of a series of requests is dropped.
 REQUEST_IDLE_SECONDS = 60
 NEVER = float("-inf")
@@ -39,8 +41,8 @@
     takeover_seconds: float
     started_at: float
     ownership: Ownership
-    # Copies of other owners' pins: key to upstream's index.
-    backups: dict[int, int] = attrs.field(factory=dict)
+    # Copies of other owners' pins: key to (upstream's index, time of the copy).
+    backups: dict[int, tuple[int, float]] = attrs.field(factory=dict)
     taken_over: dict[int, float] = attrs.field(factory=dict)
     welcomed: set[str] = attrs.field(factory=set)
     # Peers whose claims this instance still waits for.
@@ -48,6 +50,12 @@
     # Instances that may still hold pins of shards that became this one's.
     pins_from: set[str] = attrs.field(factory=set)
     owners_before: frozenset = frozenset()
+    # The incarnation of each instance in the last view.
+    lives: dict[str, int] = attrs.field(factory=dict)
+    # Instances that died and have not been told so after their next start.
+    lost_lives: set[str] = attrs.field(factory=set)
+    # Whether this instance's own former life ended so.
+    former_life_lost: bool = False
     joined_at: float = attrs.field(init=False)
     handover: Handover = attrs.field(init=False)
     dirty: bool = True
@@ -55,6 +63,7 @@
     # The upstreams that the rule chose from when it was last looked at.
     rule_inputs: frozenset = frozenset()
     rule_checked_at: float = NEVER
+    copied_at: float = attrs.field(init=False)
     # Shards whose pins must be compared with the rule; a dict keeps their order.
     to_sweep: dict[int, None] = attrs.field(factory=dict)
     # What was copied of each shard: key to (upstream's index, second instance).
@@ -62,7 +71,7 @@
 
     def __attrs_post_init__(self):
         self.waiting_for = {name for name in self.peers if name != self.me}
-        self.joined_at = self.started_at
+        self.joined_at = self.copied_at = self.started_at
         self.handover = Handover(
             send=self.send,
             describe=self.describe_pin,
@@ -93,27 +102,55 @@
             if not self.membership.is_reachable(name):
                 self.handover.forget(name)
         claims = self.claims_by_shard()
+        lost = self.find_lost()
         for shard in range(SHARDS):
             if after.owners[shard] != before.owners[shard]:
-                self.follow_owner(shard, before.owners[shard], after.owners[shard], now)
+                was_lost = before.owners[shard] in lost
+                self.follow_owner(shard, was_lost, after.owners[shard], now)
             if after.seconds[shard] != before.seconds[shard]:
                 self.to_sweep[shard] = None
             if after.groups[shard] != before.groups[shard] and shard in claims:
                 added = set(after.groups[shard]) - set(before.groups[shard])
                 self.hand_claims(claims[shard], added)
+        if lost:
+            self.lost_lives |= lost
+            self.promote_backups(now)
         self.inform_welcomed(claims)
         self.mark_new_owners()
 
-    def follow_owner(self, shard, before, after, now):
-        """Act on a shard's new owner."""
-        if after == self.me:
-            if before and not self.membership.is_reachable(before):
+    def find_lost(self):
+        """Return who has died since the last view, maybe to start again at once."""
+        members = self.membership.members
+        lost = {
+            name
+            for name, incarnation in self.lives.items()
+            if members[name].state == State.DEAD or members[name].incarnation != incarnation
+        }
+        self.lives = {
+            name: member.incarnation
+            for name, member in members.items()
+            if member.state != State.LEFT
+        }
+        return lost
+
+    def follow_owner(self, shard, was_lost, owner, now):
+        """Act on a shard's new owner; the former one may have been lost."""
+        if owner == self.me:
+            if was_lost:
                 self.taken_over[shard] = now
             return
         self.taken_over.pop(shard, None)
         self.copied.pop(shard, None)
-        if after and self.pins.shards[shard]:
-            self.hand_shard(shard, after, now)
+        if owner and self.pins.shards[shard]:
+            self.hand_shard(shard, owner, now)
+
+    def promote_backups(self, now):
+        """Pin the flows of the shards that were just taken over as their copies say."""
+        for key, (index, _) in list(self.backups.items()):
+            upstream = self.upstreams.by_index.get(index)
+            is_taken_over = self.taken_over.get(key & SHARD_MASK) == now
+            if is_taken_over and upstream is not None:
+                self.take_pin(key, upstream, False, now)
 
     def hand_shard(self, shard, name, now):
         """Queue a shard's pins for its new owner, those off the rule first."""
@@ -153,6 +190,8 @@
                 if name in self.ownership.groups[shard]:
                     transfer.claims.extend(pairs)
             transfer.claims_complete = True
+            transfer.former_life_lost = name in self.lost_lives
+            self.lost_lives.discard(name)
             transfer.pins_complete = name in self.owners_before
         self.welcomed.clear()
 
@@ -177,7 +216,8 @@
 
     def thaw(self, now):
         """Start anew after having been frozen: own pins are only copies now."""
-        self.backups.update(self.pins.take_all())
+        for key, index in self.pins.take_all().items():
+            self.backups[key] = index, now
         self.expect_pins(now)
         self.waiting_for = set(self.pins_from)
         self.claims.informed = False
@@ -211,7 +251,9 @@
 
     def is_taken_over(self, shard, now):
         """Return whether a shard came here lately without a handover."""
-        return now - self.taken_over.get(shard, NEVER) < self.takeover_seconds
+        since = self.joined_at if self.former_life_lost else NEVER
+        since = max(since, self.taken_over.get(shard, NEVER))
+        return now - since < self.takeover_seconds
 
     def is_handed_over(self):
         """Return whether a leaving instance has nothing left to hand over."""
@@ -241,6 +283,7 @@
             self.claims.record(key, holder, now)
         if message.claims_complete:
             self.waiting_for.discard(sender)
+        self.former_life_lost |= message.former_life_lost
         if message.pins_complete:
             self.pins_from.discard(sender)
         self.send(sender, PinsAck(message.number, refused))
@@ -248,7 +291,7 @@
     def take_pin(self, key, upstream, is_backup, now):
         """Take one pin; the own pin of a flow stands against another's."""
         if is_backup:
-            self.backups[key] = upstream.index
+            self.backups[key] = upstream.index, now
         elif not self.pins.get(key):
             self.pins.put(key, upstream, int(now))
             self.backups.pop(key, None)
@@ -272,12 +315,23 @@
             return
         self.rule_checked_at = now
         inputs = self.upstreams.usable_indices(now)
-        if inputs != self.rule_inputs:
+        copy_again = now - self.copied_at > COPY_AGAIN_SECONDS
+        if copy_again:
+            self.copied_at = now
+            self.copied.clear()
+            self.forget_backups(now)
+        if copy_again or inputs != self.rule_inputs:
             self.rule_inputs = inputs
             owners = self.ownership.owners
             own = (shard for shard in range(SHARDS) if owners[shard] == self.me)
             self.to_sweep.update(dict.fromkeys(own))
 
+    def forget_backups(self, now):
+        """Drop the copies that their owner has not made again."""
+        limit = now - 2 * COPY_AGAIN_SECONDS
+        for key in [key for key, (_, at) in self.backups.items() if at < limit]:
+            del self.backups[key]
+
     def sweep(self, now):
         """Copy the pins off the rule of some of the shards that changed."""
         self.check_rule(now)
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -132,7 +132,8 @@
             to_upstream=self.to_upstream,
             send=self.send,
             copy=self.transitions.copy,
-            is_owner=lambda shard: self.transitions.owner(shard) == me,
+            me=me,
+            owner=self.transitions.owner,
             reroute=lambda datagram, now: self.router.handle_caller(
                 split_packet(datagram), 0, now
             ),
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -134,6 +134,8 @@
   2: bool known
   3: string upstream
   4: i64 incarnation
+  // Who owns the shard as the sender sees it, when that is a third one.
+  5: string owner
 }
 
 struct UpstreamPins {
@@ -152,6 +154,8 @@
   6: bool backup
   // The receiver now has the pins of the shards that became its own.
   7: bool pins_complete
+  // The receiver's former incarnation ended without a handover.
+  8: bool former_life_lost
 }
 
 struct PinsAck {
--- a/lycheevalve/tests/test_flows.py
+++ b/lycheevalve/tests/test_flows.py
@@ -5,6 +5,7 @@
 
 from lycheevalve.coordination.membership import State
 from lycheevalve.flows.keys import SHARD_MASK, flow_key
+from lycheevalve.flows.transitions import COPY_AGAIN_SECONDS
 from lycheevalve.tests.fakes.machines import SERVICES, SiteMachine
 from lycheevalve.tests.fakes.proxy import build_header
 from lycheevalve.tests.fakes.site import DOORS, Site
@@ -174,6 +175,31 @@
         site.run(2.0)
         assert speak_all(site, sessions) == []
 
+    def test_instance_that_starts_again_at_once_counts_as_lost(self):
+        """What it had placed by the rule is placed by the rule alone again."""
+        site = Site(16)
+        site.settle()
+        sessions = open_sessions(site, 200)
+        site.kill("a2")
+        site.start("a2")
+        site.run(0.6)
+        assert speak_all(site, sessions) == []
+        assert site.running["a2"].transitions.former_life_lost
+
+    def test_copies_are_made_again_and_old_ones_are_dropped(self):
+        site = Site(17)
+        site.settle()
+        open_sessions(site, 60)
+        site.configure(drained=["10.1.0.1:7300"])
+        site.run(4.0)
+        instance = site.running["a1"]
+        copies = len(instance.transitions.backups)
+        assert copies
+        instance.transitions.forget_backups(site.now + COPY_AGAIN_SECONDS)
+        assert len(instance.transitions.backups) == copies
+        instance.transitions.forget_backups(site.now + 3 * COPY_AGAIN_SECONDS)
+        assert not instance.transitions.backups
+
     def test_owner_dies_while_handing_over(self):
         """What was not handed over goes by the rule: only pins off it can break."""
         site = Site(6)
