--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -110,7 +110,7 @@
     Mutant(
         "pins are not handed over",
         "flows/transitions.py",
-        "        if after and self.pins.shards[shard]:",
+        "        if owner and self.pins.shards[shard]:",
         "        if False:",
         FLOWS,
     ),
@@ -196,8 +196,8 @@
     Mutant(
         "silence is waited out",
         "flows/requests.py",
-        "min(now + self.patience(exchange, now), exchange.deadline)",
-        "exchange.deadline",
+        "            now + self.admission.patience(exchange, now), exchange.deadline",
+        "            exchange.deadline, exchange.deadline",
         f"{REQUESTS}::TestGivingUp",
     ),
     Mutant(
@@ -227,14 +227,14 @@
         "coordination/spreading.py",
         "        if not self.ready or self.held.revision <= self.applied.revision:",
         "        if self.held.revision <= self.applied.revision:",
-        f"{SPREADING}::TestRevisions",
+        f"{SPREADING}::TestRestartWithoutDisk",
     ),
     Mutant(
         "lower revisions are taken",
         "coordination/spreading.py",
         "            if message.configuration.revision > self.held.revision:",
         "            if True:",
-        f"{SPREADING}::TestRevisions",
+        f"{SPREADING}::TestLateNews",
     ),
     Mutant(
         "frames may be replayed",
--- a/lycheevalve/daemon/replication.py
+++ b/lycheevalve/daemon/replication.py
@@ -14,7 +14,7 @@
 from lycheevalve.exceptions import StorageError
 from lycheevalve.schema.generated.messages import Change, ChangeMembers, ChangeResult
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
 logger = logger.bind(part="replica")
 
 
--- a/lycheevalve/flows/requests.py
+++ b/lycheevalve/flows/requests.py
@@ -283,6 +283,7 @@
         else:
             reply = message.encode()
         self.close(exchange, State.ANSWERED, reply, now)
+        self.drain_queue(self.queue(exchange.service), now)
 
     # Timers.
 
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -43,8 +43,8 @@
 GOOD_STATES = ("answered",)
 ANSWER_STATES = ("answered", "refused", "unknown")
 
-TICK_SECONDS = 0.02
-VIEW_SECONDS = 0.05
+TICK_SECONDS = 0.05
+VIEW_SECONDS = 0.1
 SPREAD_SECONDS = 0.5
 REGISTRATIONS_SECONDS = 0.1
 LEASE_QUERY_SECONDS = 0.3
--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -13,7 +13,7 @@
 
 # A test that waits longer than this has failed; nothing is judged by speed.
 PATIENCE_SECONDS = 60.0
-PORTS = iter(range(21000, 30000, 500))
+FIRST_PORTS = iter(range(21000, 30000, 500))
 
 
 def wait_for(condition):
@@ -27,10 +27,23 @@
     raise AssertionError("it did not come about")
 
 
+def find_ports():
+    """Return the first port of a range in which nobody listens."""
+    for first in FIRST_PORTS:
+        try:
+            for offset in range(1, 5):
+                with socket.create_server(("127.0.0.1", first + 100 + offset)):
+                    pass
+        except OSError:
+            continue
+        return first
+    raise AssertionError("no free ports")
+
+
 @pytest.fixture
 def site(tmp_path):
     """Start four instances, three of them replicas, with a configuration in force."""
-    deployment = Deployment("lagos", tmp_path, next(PORTS), instances=4)
+    deployment = Deployment("lagos", tmp_path, find_ports(), instances=4)
     deployment.write_files()
     for name in deployment.instance_names():
         deployment.start_instance(name)
--- a/lycheevalve/tests/test_spreading.py
+++ b/lycheevalve/tests/test_spreading.py
@@ -1,9 +1,13 @@
 """Spreading of accepted configurations, cut-off data centres, restarts without a disk."""
 
+import random
+
 import attrs
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, precondition, rule
 
+from lycheevalve.coordination.spreading import Spreading
+from lycheevalve.schema.generated.messages import Change, Configuration, Fetched
 from lycheevalve.tests.fakes.machines import SiteMachine
 from lycheevalve.tests.fakes.site import PLACES, Site
 
@@ -146,3 +150,46 @@
         site.network.heal()
         site.run(2.0)
         assert site.running["a1"].spreading.applied.revision == 9
+
+    def test_applies_nothing_while_a_neighbour_that_holds_more_may_answer(self):
+        spreading, applied = build_spreading()
+        old, new = Configuration(8), Configuration(9)
+        spreading.handle_fetched("a2", Fetched(True, old), 0.1)
+        spreading.learn("a2", 8, 8, 0.2)
+        assert applied == []
+        spreading.learn("a3", 9, 9, 0.3)
+        spreading.tick(0.5)
+        spreading.handle_fetched("a3", Fetched(True, new), 0.6)
+        spreading.tick(1.0)
+        assert [configuration.revision for configuration in applied] == [9]
+
+
+class TestLateNews:
+    """News that comes late."""
+
+    def test_lower_revision_is_not_taken(self):
+        spreading, applied = build_spreading()
+        spreading.handle_fetched("a2", Fetched(True, Configuration(9)), 0.1)
+        spreading.handle_fetched("a2", Fetched(True, Configuration(8)), 0.2)
+        assert spreading.held.revision == 9
+
+    def test_changes_of_another_revision_are_not_taken(self):
+        spreading, _ = build_spreading()
+        spreading.handle_fetched("a2", Fetched(True, Configuration(9)), 0.1)
+        late = Fetched(revision=7, changes=[Change("c8"), Change("c9")])
+        spreading.handle_fetched("a2", late, 0.2)
+        assert spreading.held.revision == 9
+
+
+def build_spreading():
+    """Return a starting part with two neighbours, and what it applies."""
+    applied = []
+    spreading = Spreading(
+        send=lambda name, message: None,
+        neighbours=lambda: ["a2", "a3"],
+        others=lambda: ["a2", "a3"],
+        apply=lambda configuration, now: applied.append(configuration),
+        random=random.Random(1),
+        started_at=0.0,
+    )
+    return spreading, applied
