--- a/lycheevalve/tests/fakes/machines.py
+++ b/lycheevalve/tests/fakes/machines.py
@@ -71,3 +71,32 @@
         """No packet reaches another service, no answer another caller or front door."""
         if self.site is not None:
             assert self.site.misrouted() == []
+
+
+class FailingSiteMachine(SiteMachine):
+    """A site whose instances are killed, frozen and cut off as well."""
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def kill(self, number):
+        name = self.site.names[number % len(self.site.names)]
+        if len(set(self.site.running) - self.site.frozen - self.site.leaving) > 2:
+            self.site.kill(name)
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def freeze_or_thaw(self, number):
+        name = self.site.names[number % len(self.site.names)]
+        live = set(self.site.running) - self.site.frozen - self.site.leaving
+        if name in self.site.frozen or (name in live and len(live) > 2):
+            self.site.frozen ^= {name}
+
+    @precondition(SiteMachine.is_started)
+    @rule(number=st.integers(0, 4))
+    def cut_or_heal(self, number):
+        network = self.site.network
+        if network.cuts:
+            network.heal()
+        else:
+            name = self.site.names[number % len(self.site.names)]
+            network.cut([name], [other for other in self.site.names if other != name])
--- a/lycheevalve/tests/test_flows.py
+++ b/lycheevalve/tests/test_flows.py
@@ -6,7 +6,7 @@
 from lycheevalve.coordination.membership import State
 from lycheevalve.flows.keys import SHARD_MASK, flow_key
 from lycheevalve.flows.transitions import COPY_AGAIN_SECONDS
-from lycheevalve.tests.fakes.machines import SERVICES, SiteMachine
+from lycheevalve.tests.fakes.machines import SERVICES, FailingSiteMachine, SiteMachine
 from lycheevalve.tests.fakes.proxy import build_header
 from lycheevalve.tests.fakes.site import DOORS, Site
 from lycheevalve.utils.addresses import parse_address
@@ -93,36 +93,11 @@
             self.check_sessions()
 
 
-class Failures(FlowMachine):
+class Failures(FailingSiteMachine, FlowMachine):
     """Oracle: whatever fails, no packet and no answer goes astray."""
 
     network = {"loss": 0.02, "duplication": 0.02}
 
-    @precondition(SiteMachine.is_started)
-    @rule(number=st.integers(0, 4))
-    def kill(self, number):
-        name = self.site.names[number % len(self.site.names)]
-        if len(set(self.site.running) - self.site.frozen - self.site.leaving) > 2:
-            self.site.kill(name)
-
-    @precondition(SiteMachine.is_started)
-    @rule(number=st.integers(0, 4))
-    def freeze_or_thaw(self, number):
-        name = self.site.names[number % len(self.site.names)]
-        live = set(self.site.running) - self.site.frozen - self.site.leaving
-        if name in self.site.frozen or (name in live and len(live) > 2):
-            self.site.frozen ^= {name}
-
-    @precondition(SiteMachine.is_started)
-    @rule(number=st.integers(0, 4))
-    def cut_or_heal(self, number):
-        network = self.site.network
-        if network.cuts:
-            network.heal()
-        else:
-            name = self.site.names[number % len(self.site.names)]
-            network.cut([name], [other for other in self.site.names if other != name])
-
     @precondition(SiteMachine.is_started)
     @rule(number=st.integers(0, 4), service=st.sampled_from(SERVICES))
     def upstream_returns_as_another_service(self, number, service):
--- a/lycheevalve/tests/test_requests.py
+++ b/lycheevalve/tests/test_requests.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import precondition, rule
 
 from lycheevalve.flows import coap
-from lycheevalve.tests.fakes.machines import SiteMachine
+from lycheevalve.tests.fakes.machines import FailingSiteMachine, SiteMachine
 from lycheevalve.tests.fakes.site import Site
 
 DEADLINE_SECONDS = 4.0
@@ -83,7 +83,7 @@
                 assert runs[name] == 1
 
 
-class RequestMachine(SiteMachine):
+class RequestMachine(FailingSiteMachine):
     """Callers that ask, repeat and give up, while everything fails."""
 
     network = {"loss": 0.03, "duplication": 0.05}
@@ -118,31 +118,6 @@
     def slow_upstream(self, number, delay):
         list(self.site.upstreams.values())[number].delay = delay
 
-    @precondition(SiteMachine.is_started)
-    @rule(number=st.integers(0, 4))
-    def kill(self, number):
-        name = self.site.names[number % len(self.site.names)]
-        if len(set(self.site.running) - self.site.frozen - self.site.leaving) > 2:
-            self.site.kill(name)
-
-    @precondition(SiteMachine.is_started)
-    @rule(number=st.integers(0, 4))
-    def freeze_or_thaw(self, number):
-        name = self.site.names[number % len(self.site.names)]
-        live = set(self.site.running) - self.site.frozen - self.site.leaving
-        if name in self.site.frozen or (name in live and len(live) > 2):
-            self.site.frozen ^= {name}
-
-    @precondition(SiteMachine.is_started)
-    @rule(number=st.integers(0, 4))
-    def cut_or_heal(self, number):
-        network = self.site.network
-        if network.cuts:
-            network.heal()
-        else:
-            name = self.site.names[number % len(self.site.names)]
-            network.cut([name], [other for other in self.site.names if other != name])
-
     @precondition(SiteMachine.is_started)
     @rule()
     def check_ledger(self):
@@ -164,6 +139,18 @@
     return site, Ledger(site)
 
 
+def start_with_request(seed, delay):
+    """Return (site, ledger, caller, name, owner): a request is under way at its owner."""
+    site, ledger = start(seed)
+    for upstream in site.upstreams.values():
+        upstream.delay = delay
+    caller = ("10.5.0.1", 5000)
+    name = ledger.ask(caller, 7)
+    site.run(0.2)
+    owner = next(n for n in site.names if site.running[n].requests.unfinished())
+    return site, ledger, caller, name, owner
+
+
 def answer_codes(site, caller):
     """Return the codes of a caller's answers."""
     return [coap.decode_message(payload).code for payload in site.answers_to(caller)]
@@ -186,13 +173,7 @@
         ledger.check()
 
     def test_duplicate_follows_the_first_through_a_graceful_stop(self):
-        site, ledger = start(2)
-        for upstream in site.upstreams.values():
-            upstream.delay = 1.5
-        caller = ("10.5.0.1", 5000)
-        name = ledger.ask(caller, 7)
-        site.run(0.2)
-        owner = next(n for n in site.names if site.running[n].requests.unfinished())
+        site, ledger, caller, name, owner = start_with_request(2, 1.5)
         site.stop(owner)
         site.run(0.5)
         ledger.repeat(name)
@@ -201,13 +182,7 @@
         assert set(answer_codes(site, caller)) == {codes.CHANGED}
 
     def test_duplicate_after_the_owner_died_is_unknown(self):
-        site, ledger = start(3)
-        for upstream in site.upstreams.values():
-            upstream.delay = 30.0
-        caller = ("10.5.0.1", 5000)
-        name = ledger.ask(caller, 7)
-        site.run(0.2)
-        owner = next(n for n in site.names if site.running[n].requests.unfinished())
+        site, ledger, caller, name, owner = start_with_request(3, 30.0)
         site.kill(owner)
         site.run(2.0)
         ledger.repeat(name)
@@ -216,13 +191,7 @@
         assert answer_codes(site, caller) == [codes.GATEWAY_TIMEOUT]
 
     def test_owner_that_restarts_does_not_take_its_former_claim_for_its_own(self):
-        site, ledger = start(13)
-        for upstream in site.upstreams.values():
-            upstream.delay = 30.0
-        caller = ("10.5.0.1", 5000)
-        name = ledger.ask(caller, 7)
-        site.run(0.2)
-        owner = next(n for n in site.names if site.running[n].requests.unfinished())
+        site, ledger, caller, name, owner = start_with_request(13, 30.0)
         site.kill(owner)
         site.run(2.0)
         site.start(owner)
