Wait longer for answers about a pin, and ask again

A new owner placed a flow anew when an answer about its pin took more than 50 ms, which a busy process easily does. Change: it waits up to 0.5 s and asks again every 0.1 s; the packets of that flow wait with it.

--- a/lycheevalve/flows/streams.py
+++ b/lycheevalve/flows/streams.py
@@ -14,7 +14,9 @@
 from lycheevalve.flows.placement import Placement, find_rule_choice, place
 from lycheevalve.schema.generated.messages import PinAnswer, PinQuery
 
-QUERY_TIMEOUT_SECONDS = 0.05
+# A busy instance may take long to answer; placing a flow anew may break it.
+QUERY_TIMEOUT_SECONDS = 0.5
+ASK_AGAIN_SECONDS = 0.1
 # Packets kept for a flow whose pin is being asked for.
 WAITING_PACKETS = 16
 WAITING_FLOWS = 10_000
@@ -30,6 +32,7 @@
     asked: set[str]
     told: set[str]
     since: float
+    asked_at: float
     packets: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=WAITING_PACKETS)
     )
@@ -97,7 +100,7 @@
     def ask(self, key, service, previous, datagram, now):
         """Ask the instances that may have pinned the flow."""
         waiting = self.waiting[key] = Waiting(
-            service, set(previous), {*previous, self.me, ""}, now
+            service, set(previous), {*previous, self.me, ""}, since=now, asked_at=now
         )
         waiting.packets.append(datagram)
         self.observe("pin_queries")
@@ -187,7 +190,11 @@
         return place(key, candidates, capacities, service.balance)
 
     def tick(self, now):
-        """Go on without the answers that did not come in time."""
+        """Ask again for answers that may be lost, and go on without late ones."""
         for key, waiting in list(self.waiting.items()):
             if now - waiting.since >= QUERY_TIMEOUT_SECONDS:
                 self.release(key, now)
+            elif now - waiting.asked_at >= ASK_AGAIN_SECONDS:
+                waiting.asked_at = now
+                for name in sorted(waiting.asked):
+                    self.send(name, PinQuery(key))
