--- a/bench/demo.py
+++ b/bench/demo.py
@@ -61,6 +61,16 @@
     return await run_command(site, "apply", base, overlay, "--wait", wait)
 
 
+async def apply_when_up(site):
+    """Apply the site's files as soon as the instances answer."""
+    with trio.fail_after(START_SECONDS):
+        while True:
+            try:
+                return await apply(site)
+            except RuntimeError:
+                await trio.sleep(0.5)
+
+
 async def wait_until_ready(site):
     """Wait until all upstreams may be used by all instances."""
     wanted = len(site.upstream_names())
@@ -172,8 +182,7 @@
     log(f"start {site.site}: 8 instances, {len(site.upstream_names())} upstreams")
     site.start_all(seed)
     await trio.sleep(1.0)
-    with trio.fail_after(START_SECONDS):
-        await apply(site)
+    await apply_when_up(site)
     await wait_until_ready(site)
     log("traffic starts")
     async with trio.open_nursery() as nursery:
