--- a/lycheevalve/config/process.py
+++ b/lycheevalve/config/process.py
@@ -65,8 +65,8 @@
         findings.note("data_folder", "missing; a replica needs a folder on a disk")
 
 
-def changed_options(old, new):
+def changed_options(old, new, known=OPTIONS):
     """Return (reloadable, fixed): the names of the options that differ."""
-    changed = [name for name in OPTIONS if getattr(old, name) != getattr(new, name)]
-    reloadable = [name for name in changed if OPTIONS[name].reloadable]
+    changed = [name for name in known if getattr(old, name) != getattr(new, name)]
+    reloadable = [name for name in changed if known[name].reloadable]
     return reloadable, [name for name in changed if name not in reloadable]
--- /dev/null
+++ b/lycheevalve/control.py
@@ -0,0 +1,197 @@
+"""
+One control replica, beside its log: upstreams, subscribers and other replicas.
+
+Decisions only, without sockets, files or clocks. Upstreams announce themselves
+to any control replica; replicas subscribe to each other, so each tells its
+subscribers of all upstreams.
+"""
+
+import attrs
+
+from lycheevalve.coordination.feeds import POLL_SECONDS, Feed, is_renewal
+from lycheevalve.coordination.spreading import Spreading
+from lycheevalve.coordination.subscriptions import Subscriptions
+from lycheevalve.coordination.timers import Timers
+from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.schema.generated import messages
+from lycheevalve.utils.addresses import parse_address
+
+TICK_SECONDS = 0.05
+HOUSEKEEPING_SECONDS = 1.0
+# An upstream's farewell is acknowledged when all have seen it, or after this time:
+# it must be answered within a second.
+CONFIRM_SECONDS = 0.4
+
+
+def ignore(*_):
+    """Take an observation nobody wants."""
+
+
+@attrs.define
+class Waiting:
+    """A poll or an announcement that waits for its answer."""
+
+    reply: object
+    until: float
+    poll: object = None
+    version: int = 0
+
+
+@attrs.define(eq=False, slots=False)
+class Control:
+    """
+    The decisions of one control replica.
+
+    Answers are appended to `answers` as (reply, answer); `reply` is whatever the
+    owner handed in.
+    """
+
+    address: str
+    data_centre: str
+    process: int
+    random: object
+    now: float
+    observe: object = ignore
+    messages: list = attrs.field(factory=list)
+    answers: list = attrs.field(factory=list)
+    polls: list = attrs.field(factory=list)
+    farewells: list = attrs.field(factory=list)
+    # Set by the owner from the replica of the log.
+    current: bool = False
+    members: tuple = ()
+
+    def __attrs_post_init__(self):
+        self.timers = Timers()
+        self.upstreams = Upstreams()
+        self.subscriptions = Subscriptions(self.address, self.data_centre, True, self.process)
+        self.spreading = Spreading(
+            send=self.send,
+            neighbours=list,
+            others=list,
+            apply=lambda configuration, now: self.observe("in_force", configuration.revision),
+            random=self.random,
+            started_at=self.now,
+            ready=True,
+        )
+        self.feed = Feed(self.process, self.upstreams, self.spreading, self.now)
+        self.timers.subscribe(TICK_SECONDS, self.answer_waiting, self.now)
+        self.timers.subscribe(HOUSEKEEPING_SECONDS, self.keep_house, self.now)
+
+    def run_timers(self, now):
+        """Run what is due."""
+        self.now = now
+        self.timers.run_due(now)
+
+    def keep_house(self, now):
+        """Forget what is over."""
+        self.upstreams.forget_gone(now)
+        self.feed.forget_subscribers(now)
+        self.subscriptions.forget_lost(now)
+
+    # Upstreams.
+
+    def announce(self, registration, now):
+        """Take an upstream's announcement; return whether it is news."""
+        known = self.upstreams.by_address.get(parse_address(registration.address))
+        was = known.registration if known is not None else None
+        if not self.upstreams.update(registration, now):
+            return False
+        self.feed.note(registration, was, now)
+        if not is_renewal(registration, was):
+            self.observe("learned", registration)
+        return True
+
+    def confirm(self, registration, reply, now):
+        """Take an announcement; answer at once, or a farewell when all have seen it."""
+        is_news = self.announce(registration, now)
+        if is_news and (registration.draining or registration.leaving):
+            until = now + CONFIRM_SECONDS
+            self.farewells.append(Waiting(reply, until, version=self.feed.version))
+        else:
+            self.answers.append((reply, True))
+        self.answer_waiting(now)
+
+    def find_named(self, name):
+        """Return the newest registration of an upstream's name, or None."""
+        found = [
+            upstream.registration
+            for upstream in self.upstreams.by_address.values()
+            if upstream.registration.name == name
+        ]
+        return max(found, key=lambda r: (r.incarnation, r.sequence), default=None)
+
+    def deregister(self, name, reply, now):
+        """Take the word of an upstream that it is gone."""
+        known = self.find_named(name)
+        if known is None or known.leaving:
+            self.answers.append((reply, True))
+            return
+        gone = attrs.evolve(known, leaving=True, sequence=known.sequence + 1)
+        self.confirm(gone, reply, now)
+
+    # Subscribers.
+
+    def handle_poll(self, poll, reply, now):
+        """Take a subscriber's poll; it is answered when there is news."""
+        self.now = now
+        self.feed.subscribe(poll, now)
+        if poll.is_control:
+            self.subscriptions.name_sources([poll.address], now)
+        self.polls.append(Waiting(reply, now + POLL_SECONDS, poll))
+        self.answer_waiting(now)
+
+    def answer_waiting(self, now):
+        """Answer what has waited long enough or has news."""
+        waiting, self.polls = self.polls, []
+        for entry in waiting:
+            if now >= entry.until or self.feed.has_news(entry.poll):
+                news = self.feed.build_news(entry.poll, self.current, self.controls(now), now)
+                self.answers.append((entry.reply, news))
+            else:
+                self.polls.append(entry)
+        waiting, self.farewells = self.farewells, []
+        for entry in waiting:
+            if now >= entry.until or self.feed.is_seen(entry.version, now):
+                self.answers.append((entry.reply, True))
+            else:
+                self.farewells.append(entry)
+
+    def controls(self, now):
+        """Return the addresses of the control replicas that are known to run."""
+        polling = [s.address for s in self.feed.live_subscribers(now) if s.is_control]
+        names = {self.address, *polling, *self.subscriptions.in_contact(now), *self.members}
+        return sorted(names)
+
+    def learners(self, now):
+        """Return the control replicas in contact, members of the log or not."""
+        polling = [s.address for s in self.feed.live_subscribers(now) if s.is_control]
+        return {*polling, *self.subscriptions.in_contact(now)} - {self.address}
+
+    # Messages.
+
+    def send(self, name, message):
+        """Queue a message to another control replica."""
+        self.messages.append((name, message))
+
+    def open_source(self, address, now):
+        """Start to poll a control replica that can be reached again."""
+        if address in self.subscriptions.sources:
+            self.send(address, self.subscriptions.build_poll(address, self.spreading))
+
+    def handle_message(self, sender, message, now):
+        """Take another replica's answer to a poll."""
+        self.now = now
+        if sender not in self.subscriptions.sources:
+            return
+        if isinstance(message, messages.News):
+            self.subscriptions.take(sender, message, now)
+            for registration in message.registrations:
+                self.announce(registration, now)
+            self.feed.settled = self.feed.settled or message.settled
+        self.answer_waiting(now)
+        self.send(sender, self.subscriptions.build_poll(sender, self.spreading))
+
+    def take_committed(self, configuration, changes, now):
+        """Take what the replica of the log has committed."""
+        self.spreading.take_committed(configuration, changes, now)
+        self.answer_waiting(now)
--- a/lycheevalve/coordination/configuration.py
+++ b/lycheevalve/coordination/configuration.py
@@ -30,10 +30,14 @@
     INVALID = 3
     REDIRECT = 4
     UNAVAILABLE = 5
+    # A whole configuration whose number is not above the accepted one.
+    SUPERSEDED = 6
 
 
 def apply_change(configuration, change):
     """Return the configuration after an accepted change; the old one stays as it is."""
+    if change.target_revision:
+        return Configuration(change.target_revision, document=change.document)
     services = {service.name: service for service in configuration.services}
     for service in change.puts:
         services[service.name] = service
@@ -64,6 +68,8 @@
 
     def apply(self, change: Change):
         """Apply a committed change; return its ChangeResult."""
+        if change.target_revision:
+            return self.replace(change)
         known = self.results.get(change.change_id)
         if known is not None:
             return known
@@ -71,6 +77,18 @@
         self.remember(self.results, change.change_id, result)
         return result
 
+    def replace(self, change):
+        """
+        Take a whole configuration if its number is the highest so far.
+
+        The number alone makes this idempotent, so no answer is remembered.
+        """
+        accepted = change.target_revision > self.configuration.revision
+        if accepted:
+            self.configuration = apply_change(self.configuration, change)
+        outcome = Outcome.ACCEPTED if accepted else Outcome.SUPERSEDED
+        return ChangeResult(change.change_id, outcome, self.configuration.revision)
+
     def decide(self, change):
         """Accept a change, or say why not."""
         revision = self.configuration.revision
--- a/lycheevalve/coordination/consensus.py
+++ b/lycheevalve/coordination/consensus.py
@@ -11,19 +11,22 @@
 
 from lycheevalve.coordination.configuration import ConfigurationMachine
 from lycheevalve.coordination.elections import (
+    handle_abdicate,
     handle_vote,
     handle_vote_request,
     tick_election,
 )
 from lycheevalve.coordination.log import EntryKind, Log
+from lycheevalve.coordination.reads import confirm_reads
 from lycheevalve.coordination.recovery import (
     handle_probe,
     handle_probed,
     handle_readmit,
+    start_full,
     start_recovering,
     tick_blank,
 )
-from lycheevalve.coordination.replica import Replica, Role
+from lycheevalve.coordination.replica import LEASE_SECONDS, Replica, Role
 from lycheevalve.coordination.replication import (
     advance_commit,
     broadcast,
@@ -33,6 +36,7 @@
     tick_leader,
 )
 from lycheevalve.schema.generated.messages import (
+    Abdicate,
     Append,
     Appended,
     Entry,
@@ -61,15 +65,18 @@
     Appended: handle_appended,
     Install: handle_install,
     Readmit: handle_readmit,
+    Abdicate: handle_abdicate,
 }
 
 
-def start_replica(name, members, random, stored, now, check=None):
+def start_replica(name, members, random, stored, now, check=None, founding=None):
     """
     Return a Replica with what its disk held.
 
     `stored` is a `storage.Stored`; one without a hard state starts blank under
     a new incarnation. `check(configuration, change)` refuses invalid changes.
+    Where it is known from outside whether the site starts for the first time,
+    `founding` says so and a blank replica asks nobody.
     """
     machine = ConfigurationMachine() if check is None else ConfigurationMachine(check=check)
     hard = stored.hard_state or HardState(incarnation=random.getrandbits(62) | 1)
@@ -81,11 +88,23 @@
         replica.role = Role.RECOVERING if hard.recovering else Role.FOLLOWER
     elif stored.damage:
         start_recovering(replica)
+    elif founding is not None:
+        start_known(replica, founding and name in members, now)
     replica.refresh_members()
     replica.reset_election(now)
     return replica
 
 
+def start_known(replica, founding, now):
+    """Start a blank replica that knows whether anything was promised before."""
+    if founding:
+        start_full(replica, now)
+    else:
+        # Who the members are is learned from the log.
+        replica.members = []
+        start_recovering(replica)
+
+
 def tick(replica, now):
     """Run what time brings about for the replica's role."""
     run = TICKS.get(replica.role)
@@ -109,6 +128,38 @@
     return replica.role is Role.LEADER and replica.has_lease(now)
 
 
+def is_current(replica, now):
+    """Return whether this replica has applied all that was accepted, as far as it heard."""
+    if replica.applied < replica.commit or not replica.has_committed_in_term():
+        return False
+    if replica.role is Role.LEADER:
+        return replica.has_lease(now)
+    return now - replica.heard_at < LEASE_SECONDS
+
+
+def request_read(replica, token, now):
+    """As leader, hand out `token` with the effects once a quorum has confirmed the term."""
+    replica.reads.append((replica.round + 1, token))
+    broadcast(replica, now)
+    confirm_reads(replica)
+
+
+def abdicate(replica, now):
+    """As a leader that stops, let the member that holds most campaign at once."""
+    if replica.role is not Role.LEADER:
+        return
+    full = [
+        name
+        for name, progress in replica.progress.items()
+        if name in replica.members and not progress.recovering
+    ]
+    if not full:
+        return
+    heir = max(full, key=lambda name: (replica.progress[name].match, name))
+    broadcast(replica, now)
+    replica.send(heir, Abdicate(replica.hard.term))
+
+
 def propose(replica, change, now):
     """
     Append a change as leader; return its result if it is known already.
@@ -130,7 +181,7 @@
         return "not the leader"
     if len(set(members) ^ set(replica.members)) != 1:
         return "members change one at a time"
-    if replica.log.term_at(replica.commit) != replica.hard.term:
+    if not replica.has_committed_in_term():
         return "the leader has not committed in its term yet"
     pending = replica.log.entries_after(replica.commit)
     if any(entry.kind == EntryKind.MEMBERS for entry in pending):
--- a/lycheevalve/coordination/elections.py
+++ b/lycheevalve/coordination/elections.py
@@ -90,6 +90,21 @@
     replica.leader = replica.name
     following = replica.log.last_index() + 1
     replica.progress = {name: Progress(following, acked_at=now) for name in replica.others()}
-    replica.append([Entry(following, replica.hard.term, EntryKind.NOOP)])
+    replica.append([build_first_entry(replica, following)])
     broadcast(replica, now)
     advance_commit(replica)
+
+
+def build_first_entry(replica, index):
+    """Return the first entry of a term; the very first one records the members."""
+    if replica.log.members():
+        return Entry(index, replica.hard.term, EntryKind.NOOP)
+    members = sorted(replica.members)
+    return Entry(index, replica.hard.term, EntryKind.MEMBERS, members=members)
+
+
+def handle_abdicate(replica, sender, message, now):
+    """Campaign at once for a leader that stops; its term is over by its own word."""
+    current = message.term == replica.hard.term and replica.leader == sender
+    if current and replica.role is Role.FOLLOWER and replica.is_member():
+        campaign(replica, now, pre=False)
--- a/lycheevalve/coordination/log.py
+++ b/lycheevalve/coordination/log.py
@@ -7,6 +7,8 @@
 from lycheevalve.schema.generated.messages import Entry, Snapshot
 
 ENTRIES_PER_MESSAGE = 64
+# Whole configurations are large; a message holds at least one entry.
+DOCUMENT_BYTES_PER_MESSAGE = 1_000_000
 
 
 class EntryKind(enum.IntEnum):
@@ -17,6 +19,11 @@
     MEMBERS = 2
 
 
+def document_bytes(entry):
+    """Return the size of the whole configuration in an entry, 0 without one."""
+    return len(entry.change.document) if entry.change is not None else 0
+
+
 @attrs.define
 class Log:
     """A snapshot and the entries that follow it; indices start at 1."""
@@ -52,7 +59,13 @@
     def batch_from(self, index):
         """Return the entries from `index` on, up to one message full."""
         start = index - self.snapshot.index - 1
-        return self.entries[start : start + ENTRIES_PER_MESSAGE]
+        batch = self.entries[start : start + ENTRIES_PER_MESSAGE]
+        size = 0
+        for position, entry in enumerate(batch):
+            size += document_bytes(entry)
+            if position and size > DOCUMENT_BYTES_PER_MESSAGE:
+                return batch[:position]
+        return batch
 
     def truncate(self, index):
         """Drop the entries from `index` on."""
--- /dev/null
+++ b/lycheevalve/coordination/reads.py
@@ -0,0 +1,21 @@
+"""
+Linearizable reads: the leader answers once a quorum has confirmed its term.
+
+The confirmation must start after the read came in; a lease would not do, since
+the clock of a suspended machine stands still. Source: the ReadIndex of
+Ongaro, "Consensus: Bridging Theory and Practice" (2014), section 6.4.
+"""
+
+
+def confirm_reads(replica):
+    """Hand out the reads that a quorum has confirmed."""
+    if not replica.reads or not replica.has_committed_in_term():
+        return
+    rounds = [progress.acked_round for progress in replica.full_progress()]
+
+    def is_confirmed(number):
+        return replica.is_quorum(sum(acked >= number for acked in rounds))
+
+    confirmed = [token for number, token in replica.reads if is_confirmed(number)]
+    replica.reads = [read for read in replica.reads if not is_confirmed(read[0])]
+    replica.effects.reads += confirmed
--- a/lycheevalve/coordination/recovery.py
+++ b/lycheevalve/coordination/recovery.py
@@ -91,7 +91,7 @@
         for other in replica.full_progress()
         if other.acked_round >= progress.confirm_round
     ]
-    own_term = replica.log.term_at(replica.commit) == replica.hard.term
+    own_term = replica.has_committed_in_term()
     if own_term and replica.commit >= progress.target and replica.is_quorum(len(confirmed)):
         replica.send(name, Readmit(replica.hard.term, progress.incarnation))
 
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -46,6 +46,8 @@
     # The changes among the results that were accepted.
     accepted: list[Change] = attrs.field(factory=list)
     configuration_changed: bool = False
+    # Tokens of reads that a quorum has confirmed, see reads.py.
+    reads: list = attrs.field(factory=list)
 
     def needs_sync(self):
         """Return whether something has to be on the disk before sending."""
@@ -95,12 +97,26 @@
     probe_nonce: int = 0
     probe_at: float = 0.0
     blank_peers: set[str] = attrs.field(factory=set)
+    # Processes that get the log without counting towards a quorum.
+    learners: set[str] = attrs.field(factory=set)
+    # Reads under way as (round that confirms it, token).
+    reads: list[tuple[int, object]] = attrs.field(factory=list)
     effects: Effects = attrs.field(factory=Effects)
 
     def others(self):
         """Return the other members."""
         return [name for name in self.members if name != self.name]
 
+    def audience(self):
+        """Return the other members and the learners: all who get the log."""
+        names = dict.fromkeys([*self.others(), *sorted(self.learners)])
+        names.pop(self.name, None)
+        return list(names)
+
+    def has_committed_in_term(self):
+        """Return whether the last committed entry is of the current term."""
+        return self.log.term_at(self.commit) == self.hard.term
+
     def quorum(self):
         """Return how many members are a majority."""
         return len(self.members) // 2 + 1
@@ -158,6 +174,7 @@
         if self.role in (Role.LEADER, Role.CANDIDATE):
             self.role = Role.FOLLOWER
         self.leader = ""
+        self.reads.clear()
         self.reset_election(now)
 
     def append(self, entries):
--- a/lycheevalve/coordination/replication.py
+++ b/lycheevalve/coordination/replication.py
@@ -1,6 +1,7 @@
 """Replication of entries and snapshots from the leader, and their commit."""
 
-from lycheevalve.coordination.log import EntryKind
+from lycheevalve.coordination.log import EntryKind, document_bytes
+from lycheevalve.coordination.reads import confirm_reads
 from lycheevalve.coordination.recovery import (
     note_incarnation,
     readmit_if_ready,
@@ -11,6 +12,8 @@
 
 HEARTBEAT_SECONDS = 0.15
 SNAPSHOT_ENTRIES = 256
+# Whole configurations fill a small disk sooner than their count says.
+SNAPSHOT_DOCUMENT_BYTES = 4_000_000
 
 
 def tick_leader(replica, now):
@@ -25,7 +28,7 @@
     """Send entries or heartbeats to all others."""
     replica.round += 1
     replica.heartbeat_at = now + HEARTBEAT_SECONDS
-    for name in replica.others():
+    for name in replica.audience():
         send_entries(replica, name)
 
 
@@ -140,6 +143,7 @@
     else:
         progress.next = max(1, min(progress.next - 1, message.match + 1))
     readmit_if_ready(replica, sender, progress)
+    confirm_reads(replica)
     if progress.next <= replica.log.last_index() and message.round == replica.round:
         send_entries(replica, sender)
 
@@ -165,10 +169,17 @@
         entry = replica.log.entry(replica.applied)
         if entry.kind == EntryKind.CHANGE:
             apply_entry(replica, entry)
-    if replica.applied - replica.log.snapshot.index >= SNAPSHOT_ENTRIES:
+    if is_due_for_snapshot(replica):
         compact(replica)
 
 
+def is_due_for_snapshot(replica):
+    """Return whether the log has grown enough to be replaced by a snapshot."""
+    grown = replica.applied - replica.log.snapshot.index
+    size = sum(map(document_bytes, replica.log.entries))
+    return grown >= SNAPSHOT_ENTRIES or (grown > 1 and size >= SNAPSHOT_DOCUMENT_BYTES)
+
+
 def apply_entry(replica, entry):
     """Apply a committed change."""
     before = replica.machine.configuration.revision
--- a/lycheevalve/coordination/spreading.py
+++ b/lycheevalve/coordination/spreading.py
@@ -31,6 +31,8 @@
     applied: int
     held: int
     heard_at: float
+    # It has a quorum's word that it holds the newest.
+    current: bool = False
 
 
 @attrs.define
@@ -65,9 +67,9 @@
         """Return what this instance tells others."""
         return Digest(self.applied.revision, self.held.revision)
 
-    def learn(self, name, applied, held, now):
+    def learn(self, name, applied, held, now, current=False):
         """Take a peer's revisions; fetch from it what is newer."""
-        self.peers[name] = PeerRevision(applied, held, now)
+        self.peers[name] = PeerRevision(applied, held, now, current)
         if held > self.held.revision:
             self.fetch(name, now)
         self.apply_if_safe(now)
@@ -88,16 +90,19 @@
 
     def handle_fetch(self, sender, message, now):
         """Answer with the changes that a peer lacks, or with everything."""
-        missing = self.held.revision - message.revision
-        if missing <= 0:
-            return
-        answer = Fetched(revision=message.revision)
-        if missing <= len(self.changes):
-            answer.changes = list(self.changes)[-missing:]
-        else:
+        if self.held.revision > message.revision:
+            self.send(sender, self.build_fetched(message.revision))
+
+    def build_fetched(self, revision):
+        """Return what leads from a revision to the one held here."""
+        missing = self.held.revision - revision
+        answer = Fetched(revision=revision)
+        if missing > len(self.changes):
             answer.whole = True
             answer.configuration = self.held
-        self.send(sender, answer)
+        elif missing > 0:
+            answer.changes = list(self.changes)[-missing:]
+        return answer
 
     def handle_fetched(self, sender, message, now):
         """Take what was fetched, if it is newer."""
@@ -106,7 +111,7 @@
             if message.configuration.revision > self.held.revision:
                 self.changes.clear()
                 self.hold(message.configuration, now)
-        elif message.revision == self.held.revision:
+        elif message.changes and message.revision == self.held.revision:
             configuration = self.held
             for change in message.changes:
                 configuration = apply_change(configuration, change)
@@ -172,4 +177,6 @@
             return
         if others and len(answered) == len(others):
             self.ready = True
+        if any(self.peers[name].current for name in answered):
+            self.ready = True
         self.ready = self.ready or now - self.started_at >= START_SECONDS
--- a/lycheevalve/coordination/storage.py
+++ b/lycheevalve/coordination/storage.py
@@ -99,8 +99,13 @@
     entries: list[Entry] = attrs.field(factory=list)
     file: object = None
 
-    def load(self):
-        """Return what the folder holds; set damaged files aside."""
+    def load(self, rewrite=False):
+        """
+        Return what the folder holds; set damaged files aside.
+
+        After a failed write `rewrite` writes the log anew: what can be read of
+        it may never have reached the disk.
+        """
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
             try:
@@ -109,6 +114,8 @@
                 self.set_aside()
                 self.open_log()
                 return Stored(damage=str(error))
+            if rewrite:
+                self.rewrite_log()
             self.open_log()
         except OSError as error:
             raise StorageError(str(error), "open data folder", str(self.folder)) from error
@@ -210,13 +217,17 @@
         self.entries = [e for e in self.entries if e.index > self.snapshot.index]
         body = encode_record(RecordKind.SNAPSHOT, encode_struct(self.snapshot))
         self.replace_file(SNAPSHOT_NAME, body)
+        self.rewrite_log()
+        self.file.close()
+        self.open_log()
+
+    def rewrite_log(self):
+        """Replace the log by one that holds just what is in use."""
         records = [encode_record(RecordKind.ENTRY, encode_struct(e)) for e in self.entries]
         if self.hard_state is not None:
             hard_state = encode_struct(self.hard_state)
             records.append(encode_record(RecordKind.HARD_STATE, hard_state))
         self.replace_file(LOG_NAME, b"".join(records))
-        self.file.close()
-        self.open_log()
 
     def write_records(self, records):
         """Append records to the log and sync them."""
--- /dev/null
+++ b/lycheevalve/daemon/control.py
@@ -0,0 +1,240 @@
+"""The tasks of a control replica: log, links, operators, upstreams' announcements."""
+
+from pathlib import Path
+
+import attrs
+import trio
+from loguru import logger
+
+from lycheevalve.config.roles import link_addresses
+from lycheevalve.control import Control
+from lycheevalve.coordination.configuration import Outcome
+from lycheevalve.coordination.configuration import accept_all as accept_checked
+from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
+from lycheevalve.daemon.links import Links
+from lycheevalve.daemon.pumps import ask_once
+from lycheevalve.daemon.replication import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
+from lycheevalve.daemon.roles import INBOX_EVENTS, RoleProcess
+from lycheevalve.exceptions import UnavailableError
+from lycheevalve.schema.generated.messages import (
+    ChangeResult,
+    Fetch,
+    Poll,
+    ReadRequest,
+    ReadResult,
+)
+
+# Operators turn to another replica when they hear nothing for a second.
+ANSWER_SECONDS = 0.85
+# How long to wait for another leader before asking again.
+LEADER_RETRY_SECONDS = 0.1
+# A leaving leader waits for its successor, and its servers for their last answers.
+LEAVE_SECONDS = 0.4
+logger = logger.bind(part="control")
+
+
+@attrs.frozen
+class Announcement:
+    """What an upstream said of itself; the answer goes to `reply`."""
+
+    registration: object
+    reply: object
+
+
+@attrs.frozen
+class Farewell:
+    """The word of an upstream, by its name, that it is gone."""
+
+    name: str
+    reply: object
+
+
+@attrs.frozen
+class ReplicaNames:
+    """What the replica of the log needs of the settings."""
+
+    name: str
+    replicas: list
+
+
+class ControlProcess(RoleProcess):
+    """
+    One control replica.
+
+    `serve(process)` returns the coroutine function that serves operators and
+    upstreams, see platform/.
+    """
+
+    def __init__(self, settings, make_server):
+        super().__init__(settings)
+        self.decisions = Control(
+            address=self.address,
+            data_centre=settings.data_centre,
+            process=self.incarnation,
+            random=self.random,
+            now=trio.current_time(),
+            observe=self.observe,
+        )
+        self.make_server = make_server
+        self.view = ReplicaView()
+        self.links = None
+        self.replica_inbox = None
+        self.learners = frozenset()
+        self.left_at = 0.0
+        self.events |= {
+            Query: self.handle_query,
+            Committed: self.handle_committed,
+            ReplicaView: self.handle_view,
+            Announcement: self.handle_announcement,
+            Farewell: self.handle_farewell,
+        }
+
+    async def start(self, nursery):
+        """Start the tasks of the log, the links and the server."""
+        self.links = Links(self.make_codec, str, nursery)
+        self.replica_inbox, receiver = trio.open_memory_channel(INBOX_EVENTS)
+        names = ReplicaNames(self.address, link_addresses(self.settings))
+        task = ReplicaTask(
+            names,
+            Path(self.settings.data_folder),
+            self.links.send,
+            self.inbox,
+            check=accept_checked,
+            founding=self.settings.founding,
+        )
+        nursery.start_soon(task.run, receiver)
+        await self.serve_links(nursery, self.answer_link)
+        await nursery.start(self.make_server(self).run)
+
+    # Links of other processes.
+
+    async def answer_link(self, sender, message):
+        """Take a message of a link; return its answer."""
+        if isinstance(message, REPLICA_MESSAGES):
+            await self.replica_inbox.send(Received(sender, message))
+            return None
+        if isinstance(message, (*PROPOSALS, ReadRequest)):
+            return await self.ask(self.replica_inbox, Query, message)
+        return await self.ask(self.inbox, Query, message)
+
+    async def ask(self, inbox, event, *details):
+        """Return the answer of a task."""
+        reply, answers = trio.open_memory_channel(1)
+        with trio.move_on_after(ANSWER_SECONDS):
+            await inbox.send(event(*details, reply))
+            return await answers.receive()
+        raise UnavailableError("no answer in time", "ask", self.address)
+
+    # Operators and upstreams.
+
+    async def propose(self, change):
+        """Return the ChangeResult of the leader; raise UnavailableError in time."""
+        return await self.ask_leader(change, lambda result: result.outcome not in NO_LEADER)
+
+    async def read(self):
+        """Return the newest configuration; raise UnavailableError when unsure."""
+        result = await self.ask_leader(ReadRequest(), lambda result: result.current)
+        return result.configuration
+
+    async def ask_leader(self, message, is_final):
+        """Return the leader's answer to a message."""
+        with trio.move_on_after(ANSWER_SECONDS):
+            while True:
+                answer = await self.try_leader(message)
+                if answer is not None and is_final(answer):
+                    return answer
+                await trio.sleep(LEADER_RETRY_SECONDS)
+        raise UnavailableError("no leader with a quorum answered", "ask leader", self.address)
+
+    async def try_leader(self, message):
+        """Return the answer of this replica or, if that is not the leader, of the leader."""
+        answer = await self.ask(self.replica_inbox, Query, message)
+        leader = name_leader(answer)
+        if not leader or leader == self.address:
+            return answer
+        try:
+            return await ask_once(leader, self.make_codec(), message, ANSWER_SECONDS)
+        except UnavailableError as error:
+            logger.info("leader not reached", peer=leader, reason=str(error))
+            return None
+
+    async def announce(self, registration):
+        """Take an upstream's announcement; return when it may be acknowledged."""
+        return await self.ask(self.inbox, Announcement, registration)
+
+    async def dismiss(self, name):
+        """Take the word of an upstream that it is gone."""
+        return await self.ask(self.inbox, Farewell, name)
+
+    # Events.
+
+    async def handle_query(self, event):
+        """Take a subscriber's poll or its request for settings."""
+        message = event.message
+        if isinstance(message, Poll):
+            self.decisions.handle_poll(message, event.reply, trio.current_time())
+        elif isinstance(message, Fetch):
+            fetched = self.decisions.spreading.build_fetched(message.revision)
+            event.reply.send_nowait(fetched)
+
+    async def handle_announcement(self, event):
+        """Take an upstream's announcement."""
+        self.decisions.confirm(event.registration, event.reply, trio.current_time())
+
+    async def handle_farewell(self, event):
+        """Take an upstream's farewell."""
+        self.decisions.deregister(event.name, event.reply, trio.current_time())
+
+    async def handle_committed(self, event):
+        """Take what the replica committed."""
+        now = trio.current_time()
+        self.decisions.take_committed(event.configuration, event.changes, now)
+
+    async def handle_view(self, view):
+        """Note what the replica is."""
+        if (view.role, view.leader) != (self.view.role, self.view.leader):
+            logger.info("replica", role=view.role, leader=view.leader, members=view.members)
+        self.view = view
+        self.decisions.current = view.current
+        self.decisions.members = view.members
+
+    def flush(self):
+        """Send what is queued, and tell the log who runs."""
+        super().flush()
+        answers, self.decisions.answers = self.decisions.answers, []
+        for reply, answer in answers:
+            reply.send_nowait(answer)
+        learners = frozenset(self.decisions.learners(trio.current_time()))
+        if learners != self.learners:
+            try:
+                self.replica_inbox.send_nowait(Learners(learners))
+                self.learners = learners
+            except trio.WouldBlock:
+                logger.debug("the replica is busy")
+
+    def observe(self, name, *details):
+        """Log what operators should see."""
+        logger.info(name, details=[repr(detail) for detail in details])
+
+    async def handle_stop(self, event):
+        """Hand the leadership on, then end."""
+        if not self.left_at:
+            self.left_at = trio.current_time()
+            logger.info("leaving")
+            await self.replica_inbox.send(Stop())
+
+    def is_over(self, now):
+        """Return whether the process may end."""
+        return bool(self.left_at) and now - self.left_at >= LEAVE_SECONDS
+
+
+NO_LEADER = (Outcome.REDIRECT, Outcome.UNAVAILABLE)
+
+
+def name_leader(answer):
+    """Return the leader that an answer refers to, or an empty text."""
+    if isinstance(answer, ReadResult):
+        return "" if answer.current else answer.leader
+    if isinstance(answer, ChangeResult) and answer.outcome == Outcome.REDIRECT:
+        return answer.winner
+    return ""
--- a/lycheevalve/daemon/events.py
+++ b/lycheevalve/daemon/events.py
@@ -34,6 +34,8 @@
     leader: str = ""
     members: tuple = ()
     accepted: int = 0
+    # It holds all that was accepted, as far as a leader with a quorum told it.
+    current: bool = False
 
 
 @attrs.frozen
@@ -54,3 +56,10 @@
     """New settings."""
 
     settings: object
+
+
+@attrs.frozen
+class Learners:
+    """The processes that get the log beside its members."""
+
+    names: frozenset
--- a/lycheevalve/daemon/process.py
+++ b/lycheevalve/daemon/process.py
@@ -16,7 +16,7 @@
 from lycheevalve.daemon import events
 from lycheevalve.daemon.links import Links, make_codec_factory, serve_links
 from lycheevalve.daemon.metrics import Metrics
-from lycheevalve.daemon.replication import PROPOSALS, ReplicaTask
+from lycheevalve.daemon.replication import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.status import build_status, explain_flow
 from lycheevalve.daemon.traffic import Traffic
 from lycheevalve.exceptions import FrameError, UnavailableError
@@ -30,16 +30,6 @@
 # An operator's request is answered or given up on after this time.
 ANSWER_SECONDS = 5.0
 # Messages that may be larger than a datagram, or must arrive in order.
-REPLICA_MESSAGES = (
-    messages.Probe,
-    messages.Probed,
-    messages.VoteRequest,
-    messages.Vote,
-    messages.Append,
-    messages.Appended,
-    messages.Install,
-    messages.Readmit,
-)
 LINK_MESSAGES = (*REPLICA_MESSAGES, messages.Fetch, messages.Fetched, messages.Sync)
 # Events that are logged; the others are only counted.
 LOGGED = ("in_force", "refused_announcements", "bad_datagrams", "bad_frames", "thawed")
--- /dev/null
+++ b/lycheevalve/daemon/pumps.py
@@ -0,0 +1,113 @@
+"""
+Pumps: one task for each control replica that a process polls.
+
+A pump keeps a connection open, sends what the owner gives it, one message after
+the other, and tells the owner each answer. A connection on which no answer
+comes is closed and opened again.
+"""
+
+import random
+
+import attrs
+import trio
+from loguru import logger
+
+from lycheevalve.coordination.feeds import POLL_SECONDS
+from lycheevalve.daemon.events import Received
+from lycheevalve.daemon.links import LINK_ERRORS, open_connection
+from lycheevalve.exceptions import UnavailableError
+
+# An answer later than this after its poll was due means that the path is broken.
+ANSWER_SECONDS = POLL_SECONDS + 0.7
+RETRY_MIN_SECONDS = 0.1
+RETRY_MAX_SECONDS = 0.8
+QUEUE_MESSAGES = 8
+logger = logger.bind(part="pumps")
+
+
+@attrs.frozen
+class Opened:
+    """A control replica can be reached."""
+
+    address: str
+
+
+@attrs.frozen
+class Closed:
+    """The connection to a control replica ended."""
+
+    address: str
+    reason: str
+
+
+class Pumps:
+    """The pumps of one process; events go to the channel `tell`."""
+
+    def __init__(self, make_codec, tell, nursery):
+        self.make_codec = make_codec
+        self.tell = tell
+        self.nursery = nursery
+        self.queues = {}
+        self.scopes = {}
+
+    def keep(self, addresses):
+        """Run pumps for these addresses and no others."""
+        for address in addresses:
+            if address not in self.scopes:
+                self.scopes[address] = trio.CancelScope()
+                self.nursery.start_soon(self.run, address, self.scopes[address])
+        for address in set(self.scopes) - set(addresses):
+            self.scopes.pop(address).cancel()
+            self.queues.pop(address, None)
+
+    def send(self, address, message):
+        """Queue a message; without a connection it is lost."""
+        queue = self.queues.get(address)
+        if queue is None:
+            return
+        try:
+            queue.send_nowait(message)
+        except trio.WouldBlock:
+            logger.warning("queue is full", peer=address)
+
+    async def run(self, address, scope):
+        """Keep a connection open until the scope is cancelled."""
+        with scope:
+            while True:
+                reason = "the owner has gone"
+                try:
+                    await self.use_connection(address)
+                except LINK_ERRORS as error:
+                    reason = repr(error)
+                self.queues.pop(address, None)
+                await self.tell.send(Closed(address, reason))
+                await trio.sleep(random.uniform(RETRY_MIN_SECONDS, RETRY_MAX_SECONDS))
+
+    async def use_connection(self, address):
+        """Open a connection and pump until it fails."""
+        connection = await open_connection(address, self.make_codec())
+        async with connection.stream:
+            queue, orders = trio.open_memory_channel(QUEUE_MESSAGES)
+            self.queues[address] = queue
+            await self.tell.send(Opened(address))
+            async for message in orders:
+                answer = await exchange(connection, message, address)
+                await self.tell.send(Received(address, answer))
+
+
+async def exchange(connection, message, peer, seconds=ANSWER_SECONDS):
+    """Send a message and return its answer; raise UnavailableError when none comes."""
+    with trio.move_on_after(seconds):
+        await connection.send(message)
+        _, answer = await connection.receive()
+        return answer
+    raise UnavailableError("no answer in time", "exchange", peer)
+
+
+async def ask_once(address, codec, message, seconds):
+    """Return the answer to one message over a connection of its own."""
+    with trio.move_on_after(seconds):
+        connection = await open_connection(address, codec)
+        async with connection.stream:
+            return await exchange(connection, message, address, seconds)
+    raise UnavailableError("no connection in time", "ask", address)
--- a/lycheevalve/daemon/replication.py
+++ b/lycheevalve/daemon/replication.py
@@ -10,11 +10,19 @@
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.storage import Storage
-from lycheevalve.daemon.events import Committed, Query, Received, ReplicaView
+from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
 from lycheevalve.exceptions import StorageError
-from lycheevalve.schema.generated.messages import Change, ChangeMembers, ChangeResult
+from lycheevalve.schema.generated.messages import (
+    Change,
+    ChangeMembers,
+    ChangeResult,
+    ReadRequest,
+    ReadResult,
+)
 
 TICK_SECONDS = 0.1
+# A replica whose disk failed reads it again after this time.
+DISK_RETRY_SECONDS = 0.5
 logger = logger.bind(part="replica")
 
 
@@ -26,19 +34,34 @@
     instance.
     """
 
-    def __init__(self, settings, folder, send, tell):
+    def __init__(self, settings, folder, send, tell, check=check_change, founding=None):
         self.settings = settings
-        self.storage = Storage(folder)
+        self.folder = folder
         self.send = send
         self.tell = tell
+        self.check = check
+        self.founding = founding
+        self.storage = None
         self.replica = None
         self.waiting = {}
+        self.learners = set()
         self.view = None
 
     async def run(self, inbox):
+        """Run the replica; one whose disk failed starts again from what the disk holds."""
+        failed = False
+        while True:
+            try:
+                await self.run_from_disk(inbox, failed)
+            except StorageError as error:
+                failed = True
+                await self.wait_for_disk(error, inbox)
+
+    async def run_from_disk(self, inbox, failed):
         """Run the replica until its disk fails."""
+        self.storage = Storage(self.folder)
         try:
-            stored = await trio.to_thread.run_sync(self.storage.load)
+            stored = await trio.to_thread.run_sync(self.storage.load, failed)
             self.start(stored)
             await self.carry_out()
             await self.publish(changes=[], is_new=True)
@@ -48,8 +71,8 @@
                     await self.handle(event)
                 consensus.tick(self.replica, trio.current_time())
                 await self.carry_out()
-        except StorageError as error:
-            await self.stop(error, inbox)
+        finally:
+            self.storage.close()
 
     def start(self, stored):
         """Make the replica from what the disk held."""
@@ -61,9 +84,16 @@
             random.Random(),
             stored,
             trio.current_time(),
-            check_change,
+            self.check,
+            self.founding,
+        )
+        self.replica.learners = self.learners
+        logger.info(
+            "replica started",
+            role=self.replica.role.value,
+            members=self.replica.members,
+            index=self.replica.log.last_index(),
         )
-        logger.info("replica started", role=self.replica.role.value)
 
     async def handle(self, event):
         """Take a message of another replica or a request of an operator."""
@@ -72,10 +102,17 @@
             consensus.handle(self.replica, event.sender, event.message, now)
         elif isinstance(event, Query):
             await self.handle_query(event, now)
+        elif isinstance(event, Learners):
+            self.learners = self.replica.learners = set(event.names)
+        elif isinstance(event, Stop):
+            consensus.abdicate(self.replica, now)
 
     async def handle_query(self, query, now):
-        """Propose what an operator asks for."""
+        """Propose or read what an operator asks for."""
         message = query.message
+        if isinstance(message, ReadRequest):
+            await self.read(query, now)
+            return
         if not consensus.can_propose(self.replica, now):
             await query.reply.send(self.redirect(message.change_id))
             return
@@ -88,6 +125,13 @@
         else:
             self.waiting.setdefault(message.change_id, []).append(query.reply)
 
+    async def read(self, query, now):
+        """Return the newest configuration once a quorum has confirmed that it is that."""
+        if self.replica.role is Role.LEADER:
+            consensus.request_read(self.replica, query.reply, now)
+        else:
+            query.reply.send_nowait(ReadResult(leader=self.replica.leader))
+
     def redirect(self, change_id):
         """Return the answer of a replica that is not the leader."""
         leader = self.replica.leader
@@ -115,6 +159,8 @@
         for result in effects.results:
             for reply in self.waiting.pop(result.change_id, ()):
                 reply.send_nowait(result)
+        for reply in effects.reads:
+            reply.send_nowait(ReadResult(True, self.replica.machine.configuration))
         await self.publish(effects.accepted, effects.configuration_changed)
 
     async def publish(self, changes, is_new):
@@ -122,7 +168,11 @@
         replica = self.replica
         configuration = replica.machine.configuration
         view = ReplicaView(
-            replica.role.value, replica.leader, tuple(replica.members), configuration.revision
+            replica.role.value,
+            replica.leader,
+            tuple(replica.members),
+            configuration.revision,
+            consensus.is_current(replica, trio.current_time()),
         )
         if view != self.view:
             self.view = view
@@ -130,16 +180,27 @@
         if is_new:
             await self.tell.send(Committed(configuration, changes))
 
-    async def stop(self, error, inbox):
-        """Stop for good: a replica that can't write must not promise anything."""
-        logger.error("replica stopped", reason=str(error))
-        await self.tell.send(ReplicaView(role=Role.STOPPED.value))
-        async for event in inbox:
-            if isinstance(event, Query):
-                reason = f"the disk of this replica failed: {error}"
-                change_id = event.message.change_id
-                result = ChangeResult(change_id, Outcome.UNAVAILABLE, 0, "", reason)
-                await event.reply.send(result)
+    async def wait_for_disk(self, error, inbox):
+        """Promise nothing for a while: what could not be written is not held."""
+        logger.error("replica stopped", reason=str(error), retry_seconds=DISK_RETRY_SECONDS)
+        self.waiting.clear()
+        self.view = ReplicaView(role=Role.STOPPED.value)
+        await self.tell.send(self.view)
+        with trio.move_on_after(DISK_RETRY_SECONDS):
+            async for event in inbox:
+                if isinstance(event, Query):
+                    event.reply.send_nowait(self.refuse(event.message, error))
+                elif isinstance(event, Learners):
+                    self.learners = set(event.names)
+
+    @staticmethod
+    def refuse(message, error):
+        """Return the answer of a replica whose disk failed."""
+        if isinstance(message, ReadRequest):
+            return ReadResult()
+        reason = f"the disk of this replica failed: {error}"
+        return ChangeResult(message.change_id, Outcome.UNAVAILABLE, 0, "", reason)
 
 
 PROPOSALS = (Change, ChangeMembers)
+REPLICA_MESSAGES = tuple(consensus.HANDLERS)
--- /dev/null
+++ b/lycheevalve/entry.py
@@ -0,0 +1,158 @@
+"""
+One entry instance: it forwards callers' packets and subscribes to the control replicas.
+
+Decisions only, without sockets, files or clocks. The owner hands in packets,
+messages and the time, and takes what is to be sent from `messages`; packets go
+out through the functions it gives.
+"""
+
+import attrs
+
+from lycheevalve.coordination.feeds import is_renewal
+from lycheevalve.coordination.spreading import Spreading
+from lycheevalve.coordination.subscriptions import Subscriptions
+from lycheevalve.coordination.timers import Timers
+from lycheevalve.flows.steering import Steering
+from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.schema.generated import messages
+from lycheevalve.utils.addresses import parse_address
+
+TICK_SECONDS = 0.05
+SPREAD_SECONDS = 0.25
+HOUSEKEEPING_SECONDS = 1.0
+
+
+def ignore(*_):
+    """Take an observation nobody wants."""
+
+
+@attrs.define(eq=False, slots=False)
+class Entry:
+    """
+    The decisions of one entry instance.
+
+    `read_doors(document)` returns the front doors of the operators' text;
+    `forward` and `reset` send packets, see steering.py.
+    """
+
+    address: str
+    data_centre: str
+    process: int
+    random: object
+    now: float
+    read_doors: object
+    forward: object
+    reset: object
+    observe: object = ignore
+    messages: list = attrs.field(factory=list)
+    counters: dict = attrs.field(factory=dict)
+    leaving: bool = False
+
+    def __attrs_post_init__(self):
+        self.started_at = self.now
+        self.timers = Timers()
+        self.upstreams = Upstreams()
+        self.subscriptions = Subscriptions(self.address, self.data_centre, False, self.process)
+        self.steering = Steering(
+            upstreams=self.upstreams,
+            random=self.random,
+            forward=self.forward,
+            reset=self.reset,
+            observe=self.count,
+            is_informed=self.is_informed,
+        )
+        self.spreading = Spreading(
+            send=self.send_fetch,
+            neighbours=lambda: list(self.subscriptions.sources),
+            others=lambda: list(self.subscriptions.sources),
+            apply=self.put_in_force,
+            random=self.random,
+            started_at=self.now,
+        )
+        self.timers.subscribe(TICK_SECONDS, self.steering.tick, self.now)
+        self.timers.subscribe(SPREAD_SECONDS, self.spreading.tick, self.now)
+        self.timers.subscribe(HOUSEKEEPING_SECONDS, self.keep_house, self.now)
+
+    def run_timers(self, now):
+        """Run what is due."""
+        self.now = now
+        self.timers.run_due(now)
+
+    def keep_house(self, now):
+        """Forget what is over."""
+        self.steering.keep_house(now)
+        self.subscriptions.forget_lost(now)
+
+    # Readiness.
+
+    def is_informed(self, now):
+        """Return whether settings and upstreams are known well enough to refuse."""
+        if self.spreading.applied.revision == 0:
+            return False
+        return self.subscriptions.is_settled(now) or not self.subscriptions.in_contact(now)
+
+    def thaw(self, now):
+        """Wait for news before placing flows: the settings may have changed meanwhile."""
+        self.steering.paused = True
+
+    def is_ready(self, now):
+        """Return whether the fabric may send packets here."""
+        if self.leaving or self.steering.doors is None:
+            return False
+        return self.is_informed(now)
+
+    # Messages.
+
+    def send(self, name, message):
+        """Queue a message to a control replica."""
+        self.messages.append((name, message))
+
+    def send_fetch(self, name, message):
+        """Queue a request for settings; digests travel on the polls."""
+        if isinstance(message, messages.Fetch):
+            self.send(name, message)
+
+    def open_source(self, address, now):
+        """Start to poll a control replica that can be reached again."""
+        if address in self.subscriptions.sources:
+            self.send(address, self.subscriptions.build_poll(address, self.spreading))
+
+    def handle_message(self, sender, message, now):
+        """Take a control replica's answer."""
+        self.now = now
+        if sender not in self.subscriptions.sources:
+            return
+        if isinstance(message, messages.News):
+            self.handle_news(sender, message, now)
+        elif isinstance(message, messages.Fetched):
+            self.spreading.handle_fetched(sender, message, now)
+        self.send(sender, self.subscriptions.build_poll(sender, self.spreading))
+
+    def handle_news(self, sender, news, now):
+        """Take news of settings and upstreams."""
+        self.subscriptions.take(sender, news, now)
+        self.steering.paused = False
+        for registration in news.registrations:
+            self.learn(registration, sender, now)
+        self.spreading.learn(sender, news.applied, news.held, now, news.current)
+        if not self.spreading.ready:
+            self.spreading.tick(now)
+        if news.registrations:
+            self.steering.retry_held(now)
+
+    def learn(self, registration, sender, now):
+        """Take an upstream's registration; renewals are no event."""
+        known = self.upstreams.by_address.get(parse_address(registration.address))
+        was = known.registration if known is not None else None
+        if self.steering.learn(registration, now) and not is_renewal(registration, was):
+            self.observe("learned", registration, sender)
+
+    def put_in_force(self, configuration, now):
+        """Apply a configuration."""
+        self.steering.put_in_force(self.read_doors(configuration.document), now)
+        self.observe("in_force", configuration.revision)
+
+    def count(self, name, *details):
+        """Count an event and pass it on."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+        self.observe(name, *details)
--- /dev/null
+++ b/lycheevalve/flows/steering.py
@@ -0,0 +1,260 @@
+"""
+Steering: flows that are placed by cookies, for instances that share no pins.
+
+The first packet of a flow is placed on an upstream and gets its cookie; later
+ones carry it. What this instance remembers of flows serves the choice alone:
+losing it breaks nothing. A packet whose cookie is not known is held for a
+moment, since its upstream may be about to announce itself, and never guessed.
+"""
+
+import collections
+
+import attrs
+
+from lycheevalve.flows.cookies import Cookies
+from lycheevalve.flows.limits import note_failure, weigh_failures
+from lycheevalve.flows.upstreams import UpstreamState
+
+# A packet that can't be placed yet waits this long at most: a copy follows soon.
+HOLD_SECONDS = 0.6
+HOLD_PACKETS = 1024
+# A starting instance may hold first packets until its settings come.
+START_HOLD_SECONDS = 1.2
+# An opening packet's copies come within this time of the first one.
+OPENING_SECONDS = 2.0
+# Flows that this instance keeps in mind, and for how long after their last packet.
+FLOWS_KEPT = 65_536
+FLOW_IDLE_SECONDS = 15.0
+
+
+@attrs.frozen
+class Packet:
+    """
+    One packet of a caller, as the codec read it.
+
+    `flow` tells flows apart, `door` is the front door as (ip, port); `copy`
+    counts the repetitions of an opening packet; `raw` is the packet itself.
+    """
+
+    flow: bytes
+    door: tuple
+    cookie: int
+    opens: bool
+    copy: int
+    ends: bool
+    size: int
+    raw: bytes
+
+
+@attrs.frozen
+class Door:
+    """A front door: the services behind it as ((name, weight), ...)."""
+
+    backends: tuple
+
+
+@attrs.define
+class Flow:
+    """What this instance remembers of a flow."""
+
+    upstream: object
+    seen_at: float
+
+
+@attrs.define
+class Steering:
+    """
+    The placement of flows at one instance.
+
+    `forward(upstream, cookie, packet)` sends a packet on, `reset(packet)` ends
+    a flow for its caller, `observe(name, *details)` counts.
+    """
+
+    upstreams: object
+    random: object
+    forward: object
+    reset: object
+    observe: object
+    # Whether settings and upstreams are known well enough to refuse.
+    is_informed: object
+    cookies: Cookies = attrs.field(factory=Cookies)
+    doors: dict[tuple, Door] | None = None
+    # No flow is placed while the settings need a confirmation.
+    paused: bool = False
+    flows: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    openings: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    held: collections.deque = attrs.field(factory=collections.deque)
+
+    def learn(self, registration, now):
+        """Take an upstream's registration; return whether it is news."""
+        if not self.upstreams.update(registration, now):
+            return False
+        upstream = self.upstreams.find(registration.address, registration.incarnation)
+        if upstream is not None:
+            self.cookies.add(upstream)
+        return True
+
+    def put_in_force(self, doors, now):
+        """Use other front doors from now on."""
+        self.doors = doors
+        self.retry_held(now)
+
+    def handle(self, packet, now):
+        """Take a packet of a caller."""
+        if not self.try_handle(packet, now):
+            self.hold(packet, now)
+
+    def try_handle(self, packet, now):
+        """Return whether a packet could be dealt with at once."""
+        if self.doors is None:
+            return False
+        door = self.doors.get(packet.door)
+        if door is None:
+            self.refuse(packet, "no_front_door")
+            return True
+        if packet.opens:
+            return not self.paused and self.open(packet, door, now)
+        return self.follow(packet, now)
+
+    def refuse(self, packet, reason):
+        """End a flow for its caller."""
+        self.observe(reason, packet)
+        self.forget(packet.flow)
+        self.reset(packet)
+
+    # Packets of flows that were placed before.
+
+    def follow(self, packet, now):
+        """Forward a packet to the upstream that its cookie names."""
+        upstream = self.cookies.find(packet.cookie)
+        if upstream is None:
+            return False
+        if upstream.replaced:
+            # Its address may be another service's by now.
+            self.refuse(packet, "upstream_gone")
+            return True
+        self.remember(packet, upstream, now)
+        self.forward(upstream, packet.cookie, packet)
+        return True
+
+    def remember(self, packet, upstream, now):
+        """Keep a flow in mind, for the choice of upstreams."""
+        if packet.ends:
+            self.forget(packet.flow)
+            return
+        flow = self.flows.get(packet.flow)
+        if flow is None:
+            flow = self.flows[packet.flow] = Flow(upstream, now)
+            upstream.flows += 1
+            if len(self.flows) > FLOWS_KEPT:
+                self.forget(next(iter(self.flows)))
+            return
+        if flow.upstream is not upstream:
+            flow.upstream.flows -= 1
+            upstream.flows += 1
+            flow.upstream = upstream
+        flow.seen_at = now
+        self.flows.move_to_end(packet.flow)
+
+    def forget(self, key):
+        """Forget a flow."""
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            flow.upstream.flows -= 1
+
+    # Packets that open a flow.
+
+    def open(self, packet, door, now):
+        """Place a flow; a copy goes elsewhere, since the first upstream was silent."""
+        tried = self.openings.get(packet.flow, (0.0, ()))[1]
+        if packet.copy and tried:
+            note_failure(tried[-1], now)
+        upstream = self.choose(door, tried, now)
+        if upstream is None:
+            if self.is_informed(now):
+                self.refuse(packet, "no_upstream")
+                return True
+            return False
+        self.openings[packet.flow] = (now, (*tried, upstream))
+        self.openings.move_to_end(packet.flow)
+        self.remember(packet, upstream, now)
+        self.observe("placed", packet, upstream)
+        self.forward(upstream, upstream.cookie, packet)
+        return True
+
+    def choose(self, door, tried, now):
+        """Return the upstream for a new flow, or None."""
+        usable = [
+            (weight, candidates)
+            for service, weight in door.backends
+            if weight > 0 and (candidates := self.candidates(service, now))
+        ]
+        if not usable:
+            return None
+        weights = [weight for weight, _ in usable]
+        candidates = self.random.choices([c for _, c in usable], weights)[0]
+        fresh = [upstream for upstream in candidates if upstream not in tried]
+        return min(fresh or candidates, key=lambda u: self.cost(u, now))
+
+    def candidates(self, service, now):
+        """Return the upstreams of a service that may get a new flow."""
+        return [u for u in self.upstreams.usable(service, now) if u.cookie]
+
+    def cost(self, upstream, now):
+        """Return how full an upstream looks from here; the lowest is chosen."""
+        slots = max(1, upstream.registration.slots)
+        failures = weigh_failures(upstream, now)
+        return (upstream.flows + 1) / slots * 2.0**failures, self.random.random()
+
+    # Packets that wait.
+
+    def hold(self, packet, now):
+        """Keep a packet until more is known, or drop the oldest."""
+        self.observe("held", packet)
+        self.held.append((now, packet))
+        if len(self.held) > HOLD_PACKETS:
+            self.observe("dropped", self.held.popleft()[1])
+
+    def retry_held(self, now):
+        """Try all that is held again; drop what has waited for too long."""
+        waiting, self.held = self.held, collections.deque()
+        for since, packet in waiting:
+            limit = HOLD_SECONDS if self.doors is not None else START_HOLD_SECONDS
+            if now - since > limit:
+                self.observe("dropped", packet)
+            elif not self.try_handle(packet, now):
+                self.held.append((since, packet))
+
+    def tick(self, now):
+        """Forget what is over."""
+        self.retry_held(now)
+        self.expire(self.openings, lambda opening: now - opening[0] > OPENING_SECONDS)
+        for key in self.find_idle(now):
+            self.forget(key)
+
+    @staticmethod
+    def expire(entries, is_over):
+        """Drop entries from the oldest on."""
+        while entries and is_over(next(iter(entries.values()))):
+            entries.popitem(last=False)
+
+    def find_idle(self, now):
+        """Return the flows without a packet for long, oldest first."""
+        idle = []
+        for key, flow in self.flows.items():
+            if now - flow.seen_at <= FLOW_IDLE_SECONDS:
+                break
+            idle.append(key)
+        return idle
+
+    def keep_house(self, now):
+        """Forget upstreams that are gone."""
+        self.upstreams.forget_gone(now)
+        self.cookies.forget(lambda u: u.index in self.upstreams.by_index)
+
+    def count_usable(self, now):
+        """Return how many upstreams may get new flows, by service."""
+        return {
+            service: sum(u.state(now) is UpstreamState.UP for u in upstreams)
+            for service, upstreams in self.upstreams.by_service.items()
+        }
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -41,6 +41,8 @@
     # What this instance has under way there.
     outstanding: int = 0
     flows: int = 0
+    # The number that its flows carry, see cookies.py; 0 means none.
+    cookie: int = 0
     # Streams seen in the last and the present window, and opened in this one.
     seen_before: int = 0
     seen: int = 0
--- /dev/null
+++ b/lycheevalve/platform/codec.py
@@ -0,0 +1,19 @@
+"""What an entry instance needs to speak the platform's packets."""
+
+import functools
+
+from lycheevalve.platform import packets
+from lycheevalve.platform.documents import read_doors
+from lycheevalve.utils.addresses import parse_address
+
+
+class Codec:
+    """The codec of one entry instance; resets go to the fabric's port."""
+
+    read_packet = staticmethod(packets.read_packet)
+    build_forward = staticmethod(packets.build_forward)
+    read_doors = staticmethod(read_doors)
+
+    def __init__(self, settings):
+        port = parse_address(settings.packets)[1]
+        self.build_reset = functools.partial(packets.build_reset, port=port)
--- /dev/null
+++ b/lycheevalve/platform/heartbeats.py
@@ -0,0 +1,59 @@
+"""Heartbeats of the platform's targets, read into the product's registrations."""
+
+import json
+
+from lycheevalve.exceptions import AnnouncementError
+from lycheevalve.schema.generated.messages import Registration
+from lycheevalve.utils.addresses import parse_address
+
+STEP = "read heartbeat"
+STATES = ("ready", "draining")
+# A target that has missed this many heartbeats gets no new flows.
+LEASE_HEARTBEATS = 5
+
+
+def read_heartbeat(name, body, heartbeat_ms):
+    """Return the Registration of a heartbeat; raise AnnouncementError."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise AnnouncementError(f"not JSON: {error}", STEP, name) from error
+    if not isinstance(value, dict):
+        raise AnnouncementError("a heartbeat is an object", STEP, name)
+    state = read_text(value, "state", name)
+    if state not in STATES:
+        raise AnnouncementError(f"unknown state {state!r}", STEP, name)
+    address = read_text(value, "address", name)
+    try:
+        parse_address(address)
+    except ValueError as error:
+        raise AnnouncementError(str(error), STEP, name) from error
+    return Registration(
+        service_name=read_text(value, "service", name),
+        address=address,
+        data_centre=read_text(value, "zone", name),
+        # The start of the target; a target that starts anew may keep its id.
+        incarnation=read_integer(value, "born", name, default=0),
+        sequence=read_integer(value, "sequence", name),
+        lifetime_ms=LEASE_HEARTBEATS * heartbeat_ms,
+        slots=read_integer(value, "slots", name),
+        draining=state == "draining",
+        name=name,
+        warm_up_ms=read_integer(value, "warmupLeftMs", name, default=0),
+    )
+
+
+def read_text(value, key, name):
+    """Return a field that is a text."""
+    text = value.get(key)
+    if not isinstance(text, str) or not text:
+        raise AnnouncementError(f"{key} must be a text", STEP, name)
+    return text
+
+
+def read_integer(value, key, name, default=None):
+    """Return a field that is a whole number, 0 or more."""
+    number = value.get(key, default)
+    if not isinstance(number, int) or isinstance(number, bool) or not 0 <= number < 2**62:
+        raise AnnouncementError(f"{key} must be a whole number", STEP, name)
+    return number
--- /dev/null
+++ b/lycheevalve/platform/operators.py
@@ -0,0 +1,90 @@
+"""The calls of the platform's operators and targets at a control replica."""
+
+import functools
+
+from loguru import logger
+
+from lycheevalve.daemon.http import Response, Server, build_error, build_json
+from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
+from lycheevalve.platform.documents import decompress_document, read_document
+from lycheevalve.platform.heartbeats import read_heartbeat
+from lycheevalve.schema.generated.messages import Change
+
+REPLACE = ("POST", "/Config.Replace")
+READ = ("GET", "/Config.Read")
+HEARTBEAT = ("POST", "/Instances.Heartbeat/")
+DEREGISTER = ("POST", "/Instances.Deregister/")
+logger = logger.bind(part="operators")
+
+
+def make_server(process):
+    """Return the Server of a ControlProcess."""
+    return Server(process.settings.operators, functools.partial(answer, process))
+
+
+async def answer(process, request):
+    """Return the Response to a call."""
+    path = request.path.partition("?")[0]
+    call = (request.method, path)
+    try:
+        if call == REPLACE:
+            return await replace(process, request)
+        if call == READ:
+            return await read(process)
+        for (method, prefix), handle in TARGET_CALLS.items():
+            if request.method == method and path.startswith(prefix):
+                return await handle(process, path.removeprefix(prefix), request)
+    except UnavailableError as error:
+        logger.warning("unavailable", call=path, reason=str(error))
+        return build_error(503, str(error))
+    return build_error(404, "unknown call")
+
+
+async def replace(process, request):
+    """Take a configuration; it is acknowledged once a quorum has it."""
+    try:
+        document = read_document(request.body)
+    except SettingsError as error:
+        logger.warning("configuration refused", reason=str(error), peer=request.peer)
+        return build_error(400, str(error))
+    held = process.decisions.spreading.held.revision
+    if document.revision <= held:
+        # What is committed never goes back, so this needs no leader.
+        logger.info("configuration known", revision=document.revision, held=held)
+        return build_json(200, {"version": held})
+    change = Change(
+        change_id=f"{document.revision}",
+        target_revision=document.revision,
+        document=document.text,
+    )
+    result = await process.propose(change)
+    logger.info("configuration accepted", revision=document.revision, held=result.revision)
+    return build_json(200, {"version": result.revision})
+
+
+async def read(process):
+    """Return the newest configuration."""
+    configuration = await process.read()
+    if not configuration.document:
+        return build_error(404, "no configuration was accepted yet")
+    return Response(200, decompress_document(configuration.document))
+
+
+async def heartbeat(process, name, request):
+    """Take a target's heartbeat."""
+    try:
+        registration = read_heartbeat(name, request.body, process.settings.heartbeat_ms)
+    except AnnouncementError as error:
+        logger.warning("heartbeat refused", reason=str(error))
+        return build_error(400, str(error))
+    await process.announce(registration)
+    return build_json(200, {})
+
+
+async def deregister(process, name, request):
+    """Take the farewell of a target."""
+    await process.dismiss(name)
+    return build_json(200, {})
+
+
+TARGET_CALLS = {HEARTBEAT: heartbeat, DEREGISTER: deregister}
--- /dev/null
+++ b/lycheevalve/platform/packets.py
@@ -0,0 +1,76 @@
+"""
+The platform's packets: read into steering.Packet, built as datagrams.
+
+A packet is a header of 34 bytes, big-endian, and up to 1,200 bytes of data.
+"""
+
+import functools
+import socket
+import struct
+
+from lycheevalve.exceptions import DatagramError
+from lycheevalve.flows.steering import Packet
+
+# echo, seq, ack, sum, flags, pad, src, dport, sport, dst, len
+HEADER = struct.Struct(">IIIIB3s4sHH4sH")
+MAX_DATA_BYTES = 1200
+# Where the cookie stands; the platform calls it echo.
+COOKIE = struct.Struct(">I")
+COOKIE_BYTES = 4
+# The id of the intended target, in front of a packet to a target.
+TARGET = struct.Struct(">Q")
+ANY_TARGET = 0
+
+SYN, ACK, FIN, RST, BOUNCED = 8, 32, 1, 4, 2
+KNOWN_FLAGS = SYN | ACK | FIN | RST | BOUNCED
+NO_PAD = bytes(3)
+
+
+def read_packet(data):
+    """Return the Packet in a datagram; raise DatagramError."""
+    if len(data) < HEADER.size:
+        raise DatagramError(f"{len(data)} bytes are no packet", "read packet")
+    cookie, _, ack, _, flags, _, src, dport, sport, dst, size = HEADER.unpack_from(data)
+    if size != len(data) - HEADER.size or size > MAX_DATA_BYTES:
+        reason = f"a length of {size} in a datagram of {len(data)} bytes"
+        raise DatagramError(reason, "read packet")
+    if flags & ~KNOWN_FLAGS:
+        raise DatagramError(f"unknown flags {flags:#x}", "read packet")
+    opens = flags & (SYN | ACK | RST) == SYN
+    return Packet(
+        flow=src + dst + struct.pack(">HH", sport, dport),
+        door=(dst, dport),
+        cookie=cookie,
+        opens=opens,
+        # On an opening packet the field holds the number of copies sent before.
+        copy=ack if opens else 0,
+        ends=bool(flags & (FIN | RST)),
+        size=size,
+        raw=data,
+    )
+
+
+@functools.lru_cache(maxsize=4096)
+def encode_target(name):
+    """Return the 8 bytes that name a target by its id, or any target."""
+    digits = name.rpartition("-")[2]
+    try:
+        return TARGET.pack(int(digits, 16))
+    except (ValueError, struct.error):
+        return TARGET.pack(ANY_TARGET)
+
+
+def build_forward(upstream, cookie, packet):
+    """Return (datagram, address) of a packet to its upstream."""
+    data = packet.raw
+    if packet.cookie != cookie:
+        data = COOKIE.pack(cookie) + data[COOKIE_BYTES:]
+    return encode_target(upstream.registration.name) + data, upstream.address
+
+
+def build_reset(packet, port):
+    """Return (datagram, address) of a reset to the packet's sender, at the fabric's port."""
+    _, _, ack, _, _, _, src, dport, sport, dst, _ = HEADER.unpack_from(packet.raw)
+    # The sender takes a reset whose sequence number is near its last acknowledgement.
+    data = HEADER.pack(0, ack, 0, 0, RST, NO_PAD, dst, sport, dport, src, 0)
+    return data, (socket.inet_ntoa(src), port)
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -40,6 +40,11 @@
   GREETING = 30
   CHANGE_MEMBERS = 31
   LEASE_QUERY = 32
+  POLL = 33
+  NEWS = 34
+  READ_REQUEST = 35
+  READ_RESULT = 36
+  ABDICATE = 37
 }
 
 struct Header {
@@ -94,6 +99,10 @@
   13: bool leaving
   // How long the sender has known this incarnation.
   14: i64 known_ms
+  // The upstream's own name, where it has one.
+  15: string name
+  // How much longer it is slow after its start.
+  16: i32 warm_up_ms
 }
 
 struct Sync {
@@ -178,6 +187,10 @@
   6: list<string> undrains
   7: string author
   8: bool ignore_base
+  // A whole configuration in the operators' own format under their own number;
+  // the highest number wins.
+  9: i64 target_revision
+  10: binary document
 }
 
 struct ChangeResult {
@@ -192,6 +205,8 @@
   1: i64 revision
   2: list<settings.Service> services
   3: list<string> drained
+  // The operators' own text, compressed, where they write one.
+  4: binary document
 }
 
 // Who made a revision, for those who lost against it.
@@ -355,3 +370,47 @@
 struct Greeting {
   1: binary nonce
 }
+
+// The order to campaign at once: the leader of `term` leaves.
+struct Abdicate {
+  1: i64 term
+}
+
+// What a subscriber holds; the answer comes when there is news, or after a while.
+struct Poll {
+  1: string address
+  2: string data_centre
+  3: bool is_control
+  4: i64 applied
+  5: i64 held
+  // The feed that `version` belongs to.
+  6: i64 feed
+  7: i64 version
+  8: i64 process
+  // The highest revision that this source has told of.
+  9: i64 told
+}
+
+// A control replica's news of configuration, upstreams and other replicas.
+struct News {
+  1: i64 applied
+  2: i64 held
+  // Confirmed by a leader that has committed in its term.
+  3: bool current
+  4: i64 feed
+  5: i64 version
+  6: list<Registration> registrations
+  7: list<string> controls
+  // The sender has known the upstreams for longer than they are silent.
+  8: bool settled
+}
+
+struct ReadRequest {
+  1: i64 number
+}
+
+struct ReadResult {
+  1: bool current
+  2: Configuration configuration
+  3: string leader
+}
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -44,3 +44,26 @@
   3: list<string> control
   4: string key_file
 }
+
+// One process of a site whose flows are placed by cookies.
+struct Role {
+  1: string role
+  2: string name
+  3: string data_centre
+  4: string ip
+  // Port of the links between processes, the same on all instances.
+  5: i32 link_port
+  6: list<string> seeds
+  7: string packets = ""
+  8: string readiness = ""
+  9: string operators = ""
+  // The whole site starts for the first time, with empty disks.
+  10: bool founding = false
+  11: string data_folder = ""
+  12: string key
+  13: i32 heartbeat_ms = 1000
+  14: i32 stop_seconds = 6
+  // How many instances with disks may be lost at once.
+  15: i32 tolerated_losses = 1
+  16: string log_level = "INFO"
+}
