Find silent upstreams by what callers repeat; elect sooner after a start

Ruled out: leases alone (3.9 s late), resets of non-idempotent flows (the caller may not repeat them, and a cut may heal before the deadline).

Change: flows/evidence.py counts repetitions without an answer; silent upstreams get no new flows but a try a second, and idempotent flows with new data are reset while another upstream answers. A replica that has just started campaigns after 0.05 to 0.3 s, a refused promise is asked for again sooner.

--- a/lycheevalve/coordination/consensus.py
+++ b/lycheevalve/coordination/consensus.py
@@ -26,7 +26,13 @@
     start_recovering,
     tick_blank,
 )
-from lycheevalve.coordination.replica import LEASE_SECONDS, Replica, Role
+from lycheevalve.coordination.replica import (
+    FIRST_ELECTION_MAX_SECONDS,
+    FIRST_ELECTION_MIN_SECONDS,
+    LEASE_SECONDS,
+    Replica,
+    Role,
+)
 from lycheevalve.coordination.replication import (
     advance_commit,
     broadcast,
@@ -91,7 +97,7 @@
     elif founding is not None:
         start_known(replica, founding and name in members, now)
     replica.refresh_members()
-    replica.reset_election(now)
+    replica.wait_for_election(now, FIRST_ELECTION_MIN_SECONDS, FIRST_ELECTION_MAX_SECONDS)
     return replica
 
 
--- a/lycheevalve/coordination/elections.py
+++ b/lycheevalve/coordination/elections.py
@@ -1,7 +1,13 @@
 """Elections of a leader, with pre-vote."""
 
 from lycheevalve.coordination.log import EntryKind
-from lycheevalve.coordination.replica import ELECTION_MIN_SECONDS, Progress, Role
+from lycheevalve.coordination.replica import (
+    ELECTION_MIN_SECONDS,
+    PRE_VOTE_MAX_SECONDS,
+    PRE_VOTE_MIN_SECONDS,
+    Progress,
+    Role,
+)
 from lycheevalve.coordination.replication import advance_commit, broadcast
 from lycheevalve.schema.generated.messages import Entry, Vote, VoteRequest
 
@@ -20,8 +26,10 @@
     replica.leader = ""
     replica.pre_vote = pre
     replica.votes = {replica.name}
-    replica.reset_election(now)
-    if not pre:
+    if pre:
+        replica.wait_for_election(now, PRE_VOTE_MIN_SECONDS, PRE_VOTE_MAX_SECONDS)
+    else:
+        replica.reset_election(now)
         replica.hard.term += 1
         replica.hard.voted_for = replica.name
         replica.save_hard_state()
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -10,6 +10,13 @@
 
 ELECTION_MIN_SECONDS = 0.8
 ELECTION_MAX_SECONDS = 1.6
+# A replica that has just started waits less: when all start together nobody leads,
+# and where somebody does, the others refuse the promise of their votes.
+FIRST_ELECTION_MIN_SECONDS = 0.05
+FIRST_ELECTION_MAX_SECONDS = 0.3
+# Promises that were not given may be asked for again soon: nothing is stored for them.
+PRE_VOTE_MIN_SECONDS = 0.15
+PRE_VOTE_MAX_SECONDS = 0.45
 # A leader that has not heard from a quorum for this long steps down.
 LEASE_SECONDS = 0.8
 
@@ -162,8 +169,11 @@
 
     def reset_election(self, now):
         """Choose the time of the next election."""
-        wait = self.random.uniform(ELECTION_MIN_SECONDS, ELECTION_MAX_SECONDS)
-        self.election_at = now + wait
+        self.wait_for_election(now, ELECTION_MIN_SECONDS, ELECTION_MAX_SECONDS)
+
+    def wait_for_election(self, now, least, most):
+        """Campaign after a random time between two bounds, in seconds."""
+        self.election_at = now + self.random.uniform(least, most)
 
     def step_down(self, term, now):
         """Follow: a newer term, or the current one without a leader."""
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -14,6 +14,7 @@
 # A stopping instance forwards until the fabric has noticed and flows have moved:
 # two missed probes half a second apart, and the packets under way.
 LEAVE_SECONDS = 2.5
+COUNTERS_SECONDS = 10.0
 READINESS_PATH = "/ready"
 # Events that are logged one by one; the others are only counted.
 LOGGED = ("learned", "in_force")
@@ -34,6 +35,7 @@
         self.codec = codec
         self.traffic = None
         self.left_at = 0.0
+        self.counted_at = trio.current_time()
         self.decisions = Entry(
             address=self.address,
             data_centre=settings.data_centre,
@@ -91,6 +93,14 @@
         if name in LOGGED:
             logger.info(name, details=[repr(detail) for detail in details])
 
+    def flush(self):
+        """Send what is queued, and log the counters now and then."""
+        super().flush()
+        now = trio.current_time()
+        if now - self.counted_at >= COUNTERS_SECONDS:
+            self.counted_at = now
+            logger.info("counters", **self.decisions.counters)
+
     async def handle_stop(self, event):
         """Tell the fabric to send packets elsewhere."""
         if not self.left_at:
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -94,6 +94,7 @@
     def thaw(self, now):
         """Wait for news before placing flows: the settings may have changed meanwhile."""
         self.steering.paused = True
+        self.steering.thaw()
 
     def is_ready(self, now):
         """Return whether the fabric may send packets here."""
--- /dev/null
+++ b/lycheevalve/flows/evidence.py
@@ -0,0 +1,91 @@
+"""
+Evidence of silence: what callers' packets show about an upstream.
+
+Answers do not pass here, but a caller's packets say what has reached it: its
+acknowledgements move on while the upstream answers, and it repeats what was not
+acknowledged. Repetitions of which none was answered mean that the upstream, or
+the way to it, is gone.
+"""
+
+import attrs
+
+from lycheevalve.flows.limits import note_failure
+
+# A repetition counts when the first copy was forwarded at least this long ago:
+# callers repeat after 0.2 s, and a stalled process forwards copies back to back.
+REPEAT_SECONDS = 0.15
+# So many unanswered repetitions mean silence; one may be a lost packet.
+SILENT_REPEATS = 2
+# An upstream that answered within this time is not silent, whatever is repeated.
+ANSWER_SECONDS = 0.4
+# A silent upstream gets one new flow in this time, to find out whether it is back.
+PROBE_SECONDS = 1.0
+SEQUENCE_MODULUS = 1 << 32
+
+
+@attrs.define(eq=False)
+class Flow:
+    """What this instance remembers of a flow; losing it breaks nothing."""
+
+    upstream: object
+    seen_at: float
+    # The end of the newest data that was forwarded, and when that was.
+    sent: int | None = None
+    sent_at: float = 0.0
+    acknowledged: int | None = None
+    # Its first packet was placed here, and the upstream has not answered yet.
+    opening: bool = False
+
+
+def is_after(one, other):
+    """Return whether a sequence number comes after another one, around the wrap."""
+    return 0 < (one - other) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
+
+
+def note_packet(flow, packet, now):
+    """Learn from a packet of an open flow."""
+    if flow.opening or is_progress(flow, packet):
+        note_answer(flow.upstream, now)
+    flow.opening = False
+    flow.acknowledged = packet.acknowledged
+    if not packet.size:
+        return
+    end = (packet.sequence + packet.size) % SEQUENCE_MODULUS
+    if flow.sent is None or is_after(end, flow.sent):
+        flow.sent, flow.sent_at = end, now
+    elif now - flow.sent_at >= REPEAT_SECONDS:
+        note_repeat(flow.upstream, now)
+
+
+def is_progress(flow, packet):
+    """Return whether a packet acknowledges more than the one before."""
+    known = flow.acknowledged
+    return known is not None and is_after(packet.acknowledged, known)
+
+
+def note_answer(upstream, now):
+    """Note that an upstream answered."""
+    upstream.answered_at = now
+    upstream.failures = 0.0
+    upstream.unanswered = 0
+
+
+def note_repeat(upstream, now):
+    """Note that a caller repeated what an upstream has not answered."""
+    upstream.unanswered += 1
+    note_failure(upstream, now)
+
+
+def is_silent(upstream, now):
+    """Return whether an upstream, as far as seen from here, does not answer."""
+    return upstream.unanswered >= SILENT_REPEATS and now - upstream.answered_at > ANSWER_SECONDS
+
+
+def avoid_silent(candidates, now):
+    """Return the candidates that answer, with those that are due for another try."""
+    answering = [u for u in candidates if not is_silent(u, now)]
+    if not answering:
+        # More likely the way from here is gone than all of them.
+        return candidates
+    due = [u for u in candidates if is_silent(u, now) and now - u.probed_at > PROBE_SECONDS]
+    return due[:1] or answering
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -12,7 +12,15 @@
 import attrs
 
 from lycheevalve.flows.cookies import Cookies
-from lycheevalve.flows.limits import note_failure, weigh_failures
+from lycheevalve.flows.evidence import (
+    REPEAT_SECONDS,
+    Flow,
+    avoid_silent,
+    is_silent,
+    note_packet,
+    note_repeat,
+)
+from lycheevalve.flows.limits import weigh_failures
 from lycheevalve.flows.upstreams import UpstreamState
 
 # A packet that can't be placed yet waits this long at most: a copy follows soon.
@@ -42,23 +50,22 @@
     opens: bool
     copy: int
     ends: bool
+    sequence: int
+    acknowledged: int
     size: int
     raw: bytes
 
 
 @attrs.frozen
 class Door:
-    """A front door: the services behind it as ((name, weight), ...)."""
-
-    backends: tuple
-
+    """
+    A front door: the services behind it as ((name, weight), ...).
 
-@attrs.define
-class Flow:
-    """What this instance remembers of a flow."""
+    Callers repeat idempotent requests by themselves when a flow is reset.
+    """
 
-    upstream: object
-    seen_at: float
+    backends: tuple
+    idempotent: bool = False
 
 
 @attrs.define
@@ -114,7 +121,7 @@
             return True
         if packet.opens:
             return not self.paused and self.open(packet, door, now)
-        return self.follow(packet, now)
+        return self.follow(packet, door, now)
 
     def refuse(self, packet, reason):
         """End a flow for its caller."""
@@ -124,7 +131,7 @@
 
     # Packets of flows that were placed before.
 
-    def follow(self, packet, now):
+    def follow(self, packet, door, now):
         """Forward a packet to the upstream that its cookie names."""
         upstream = self.cookies.find(packet.cookie)
         if upstream is None:
@@ -133,28 +140,37 @@
             # Its address may be another service's by now.
             self.refuse(packet, "upstream_gone")
             return True
-        self.remember(packet, upstream, now)
+        flow = self.remember(packet, upstream, now)
+        note_packet(flow, packet, now)
+        if packet.ends:
+            self.forget(packet.flow)
+        elif self.should_move(packet, door, upstream, now):
+            self.refuse(packet, "upstream_silent")
+            return True
         self.forward(upstream, packet.cookie, packet)
         return True
 
+    def should_move(self, packet, door, upstream, now):
+        """Return whether a caller is better off with another flow than with a silent one."""
+        if not (packet.size and door.idempotent and is_silent(upstream, now)):
+            return False
+        others = self.candidates(upstream.service, now)
+        return any(not is_silent(other, now) for other in others)
+
     def remember(self, packet, upstream, now):
-        """Keep a flow in mind, for the choice of upstreams."""
-        if packet.ends:
-            self.forget(packet.flow)
-            return
+        """Return the Flow of a packet, for the choice of upstreams."""
         flow = self.flows.get(packet.flow)
+        if flow is not None and flow.upstream is not upstream:
+            self.forget(packet.flow)
+            flow = None
         if flow is None:
             flow = self.flows[packet.flow] = Flow(upstream, now)
             upstream.flows += 1
             if len(self.flows) > FLOWS_KEPT:
                 self.forget(next(iter(self.flows)))
-            return
-        if flow.upstream is not upstream:
-            flow.upstream.flows -= 1
-            upstream.flows += 1
-            flow.upstream = upstream
         flow.seen_at = now
         self.flows.move_to_end(packet.flow)
+        return flow
 
     def forget(self, key):
         """Forget a flow."""
@@ -166,9 +182,9 @@
 
     def open(self, packet, door, now):
         """Place a flow; a copy goes elsewhere, since the first upstream was silent."""
-        tried = self.openings.get(packet.flow, (0.0, ()))[1]
-        if packet.copy and tried:
-            note_failure(tried[-1], now)
+        at, tried = self.openings.get(packet.flow, (now, ()))
+        if packet.copy and now - at >= REPEAT_SECONDS:
+            note_repeat(tried[-1], now)
         upstream = self.choose(door, tried, now)
         if upstream is None:
             if self.is_informed(now):
@@ -177,7 +193,7 @@
             return False
         self.openings[packet.flow] = (now, (*tried, upstream))
         self.openings.move_to_end(packet.flow)
-        self.remember(packet, upstream, now)
+        self.remember(packet, upstream, now).opening = True
         self.observe("placed", packet, upstream)
         self.forward(upstream, upstream.cookie, packet)
         return True
@@ -193,8 +209,12 @@
             return None
         weights = [weight for weight, _ in usable]
         candidates = self.random.choices([c for _, c in usable], weights)[0]
+        candidates = avoid_silent(candidates, now)
         fresh = [upstream for upstream in candidates if upstream not in tried]
-        return min(fresh or candidates, key=lambda u: self.cost(u, now))
+        chosen = min(fresh or candidates, key=lambda u: self.cost(u, now))
+        if is_silent(chosen, now):
+            chosen.probed_at = now
+        return chosen
 
     def candidates(self, service, now):
         """Return the upstreams of a service that may get a new flow."""
@@ -247,6 +267,13 @@
             idle.append(key)
         return idle
 
+    def thaw(self):
+        """Forget evidence: this instance was silent itself."""
+        self.flows.clear()
+        self.openings.clear()
+        for upstream in self.upstreams.by_index.values():
+            upstream.flows = upstream.unanswered = 0
+
     def keep_house(self, now):
         """Forget upstreams that are gone."""
         self.upstreams.forget_gone(now)
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -55,6 +55,9 @@
     failures: float = 0.0
     failed_at: float = 0.0
     answered_at: float = float("-inf")
+    # Repetitions since the last answer, and the last try in spite of them, see evidence.py.
+    unanswered: int = 0
+    probed_at: float = float("-inf")
     # Another incarnation has its address, or it said that it is gone.
     replaced: bool = False
 
--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -16,6 +16,8 @@
 
 STEP = "check configuration"
 MAX_PORT = 65_535
+# The kinds of routes whose requests callers may repeat.
+IDEMPOTENT = ("safe", "download")
 # Level 1 takes a third of the processor time of the default, for a tenth more bytes.
 COMPRESSION_LEVEL = 1
 
@@ -46,7 +48,10 @@
 def read_doors(text):
     """Return the front doors of a compressed text, by (packed address, port)."""
     value = json.loads(zlib.decompress(text))
-    return {read_place(route): Door(read_backends(route)) for route in value.get("routes", ())}
+    return {
+        read_place(route): Door(read_backends(route), route.get("routeType") in IDEMPOTENT)
+        for route in value.get("routes", ())
+    }
 
 
 def read_place(route):
--- a/lycheevalve/platform/packets.py
+++ b/lycheevalve/platform/packets.py
@@ -30,7 +30,7 @@
     """Return the Packet in a datagram; raise DatagramError."""
     if len(data) < HEADER.size:
         raise DatagramError(f"{len(data)} bytes are no packet", "read packet")
-    cookie, _, ack, _, flags, _, src, dport, sport, dst, size = HEADER.unpack_from(data)
+    cookie, sequence, ack, _, flags, _, src, dport, sport, dst, size = HEADER.unpack_from(data)
     if size != len(data) - HEADER.size or size > MAX_DATA_BYTES:
         reason = f"a length of {size} in a datagram of {len(data)} bytes"
         raise DatagramError(reason, "read packet")
@@ -45,6 +45,8 @@
         # On an opening packet the field holds the number of copies sent before.
         copy=ack if opens else 0,
         ends=bool(flags & (FIN | RST)),
+        sequence=sequence,
+        acknowledged=ack,
         size=size,
         raw=data,
     )
