Place held first packets once; move flows only to upstreams that answer

A starting instance dropped first packets after 0.6 s although their callers wait 1.4 s; the copies of one that was held were placed on three upstreams at its release; and flows were reset towards an upstream that may have been as silent as their own, which happens when the way from this instance is what broke.

Change: opening packets are held for 1.2 s, copies of a held packet replace it, a flow is moved only while another upstream answered within a second.

--- a/lycheevalve/flows/evidence.py
+++ b/lycheevalve/flows/evidence.py
@@ -18,6 +18,8 @@
 SILENT_REPEATS = 2
 # An upstream that answered within this time is not silent, whatever is repeated.
 ANSWER_SECONDS = 0.4
+# One that answered within this time, and owes nothing, is known to answer.
+ANSWERING_SECONDS = 1.0
 # A silent upstream gets one new flow in this time, to find out whether it is back.
 PROBE_SECONDS = 1.0
 SEQUENCE_MODULUS = 1 << 32
@@ -81,6 +83,11 @@
     return upstream.unanswered >= SILENT_REPEATS and now - upstream.answered_at > ANSWER_SECONDS
 
 
+def is_answering(upstream, now):
+    """Return whether an upstream answered lately and owes no answer."""
+    return upstream.unanswered == 0 and now - upstream.answered_at < ANSWERING_SECONDS
+
+
 def avoid_silent(candidates, now):
     """Return the candidates that answer, with those that are due for another try."""
     answering = [u for u in candidates if not is_silent(u, now)]
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -16,6 +16,7 @@
     REPEAT_SECONDS,
     Flow,
     avoid_silent,
+    is_answering,
     is_silent,
     note_packet,
     note_repeat,
@@ -25,9 +26,9 @@
 
 # A packet that can't be placed yet waits this long at most: a copy follows soon.
 HOLD_SECONDS = 0.6
+# A first packet is worth holding until its caller gives up, after 1.4 s.
+OPENING_HOLD_SECONDS = 1.2
 HOLD_PACKETS = 1024
-# A starting instance may hold first packets until its settings come.
-START_HOLD_SECONDS = 1.2
 # An opening packet's copies come within this time of the first one.
 OPENING_SECONDS = 2.0
 # Flows that this instance keeps in mind, and for how long after their last packet.
@@ -90,7 +91,7 @@
     paused: bool = False
     flows: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     openings: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
-    held: collections.deque = attrs.field(factory=collections.deque)
+    held: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
 
     def learn(self, registration, now):
         """Take an upstream's registration; return whether it is news."""
@@ -155,7 +156,7 @@
         if not (packet.size and door.idempotent and is_silent(upstream, now)):
             return False
         others = self.candidates(upstream.service, now)
-        return any(not is_silent(other, now) for other in others)
+        return any(is_answering(other, now) for other in others)
 
     def remember(self, packet, upstream, now):
         """Return the Flow of a packet, for the choice of upstreams."""
@@ -229,21 +230,23 @@
     # Packets that wait.
 
     def hold(self, packet, now):
-        """Keep a packet until more is known, or drop the oldest."""
+        """Keep a packet until more is known, once for all its copies, or drop the oldest."""
         self.observe("held", packet)
-        self.held.append((now, packet))
+        key = (packet.flow, packet.opens, packet.sequence, packet.size)
+        since, _ = self.held.pop(key, (now, None))
+        self.held[key] = (since, packet)
         if len(self.held) > HOLD_PACKETS:
-            self.observe("dropped", self.held.popleft()[1])
+            self.observe("dropped", self.held.popitem(last=False)[1][1])
 
     def retry_held(self, now):
         """Try all that is held again; drop what has waited for too long."""
-        waiting, self.held = self.held, collections.deque()
-        for since, packet in waiting:
-            limit = HOLD_SECONDS if self.doors is not None else START_HOLD_SECONDS
+        waiting, self.held = self.held, collections.OrderedDict()
+        for key, (since, packet) in waiting.items():
+            limit = OPENING_HOLD_SECONDS if packet.opens else HOLD_SECONDS
             if now - since > limit:
                 self.observe("dropped", packet)
             elif not self.try_handle(packet, now):
-                self.held.append((since, packet))
+                self.held[key] = (since, packet)
 
     def tick(self, now):
         """Forget what is over."""
--- /dev/null
+++ b/lycheevalve/tests/fakes/edge.py
@@ -0,0 +1,90 @@
+"""Small stand-ins for a site with cookies: upstreams, packets, entry instances."""
+
+import random
+
+import attrs
+
+from lycheevalve.flows.steering import Door, Packet, Steering
+from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.schema.generated.messages import Registration
+
+LIFETIME_MS = 4000
+DOOR = (b"\xc6\x12\x00\x01", 443)
+OTHER_DOOR = (b"\xc6\x12\x00\x02", 8443)
+DOORS = {
+    DOOR: Door((("nightsync", 1),), idempotent=True),
+    OTHER_DOOR: Door((("restreport", 1),)),
+}
+CALLER_WINDOW_BYTES = 100
+
+
+def build_registration(number=1, service="nightsync", **values):
+    """Return the registration of an upstream."""
+    defaults = {
+        "service_name": service,
+        "address": f"10.128.0.{number}:8080",
+        "data_centre": "dc1",
+        "incarnation": 1000 + number,
+        "sequence": 1,
+        "lifetime_ms": LIFETIME_MS,
+        "slots": 2,
+        "name": f"i-{number:08x}",
+    }
+    return Registration(**(defaults | values))
+
+
+def build_packet(flow=b"flow-1", door=DOOR, **values):
+    """Return a packet of a caller."""
+    defaults = {
+        "cookie": 0,
+        "opens": False,
+        "copy": 0,
+        "ends": False,
+        "sequence": 0,
+        "acknowledged": 0,
+        "size": 0,
+        "raw": b"",
+    }
+    return Packet(flow=flow, door=door, **(defaults | values))
+
+
+@attrs.define(eq=False, slots=False)
+class Edge:
+    """One entry instance's steering, and what it sent."""
+
+    seed: int = 1
+    informed: bool = True
+    sent: list = attrs.field(factory=list)
+    resets: list = attrs.field(factory=list)
+    counters: dict = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.steering = Steering(
+            upstreams=Upstreams(),
+            random=random.Random(self.seed),
+            forward=lambda upstream, cookie, packet: self.sent.append(
+                (upstream, cookie, packet)
+            ),
+            reset=self.resets.append,
+            observe=self.count,
+            is_informed=lambda now: self.informed,
+        )
+
+    def count(self, name, *details):
+        """Count an event."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+    def learn(self, *registrations, now=0.0):
+        """Take registrations."""
+        for registration in registrations:
+            self.steering.learn(registration, now)
+
+    def configure(self, doors=None, now=0.0):
+        """Put front doors in force."""
+        self.steering.put_in_force(DOORS if doors is None else doors, now)
+
+    def handle(self, packet, now=0.0):
+        """Take a packet; return what was sent for it: (upstream, cookie, packet) or None."""
+        before = len(self.sent)
+        self.steering.handle(packet, now)
+        return self.sent[before] if len(self.sent) > before else None
