--- a/lycheevalve/coordination/elections.py
+++ b/lycheevalve/coordination/elections.py
@@ -96,6 +96,7 @@
     """Start the leadership with an entry of the new term."""
     replica.role = Role.LEADER
     replica.leader = replica.name
+    replica.led_since = now
     following = replica.log.last_index() + 1
     replica.progress = {name: Progress(following, acked_at=now) for name in replica.others()}
     replica.append([build_first_entry(replica, following)])
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -96,6 +96,7 @@
     heard_at: float = float("-inf")
     election_at: float = 0.0
     heartbeat_at: float = 0.0
+    led_since: float = float("-inf")
     # Counts the leader's heartbeats, so that an answer confirms one of them.
     round: int = 0
     votes: set[str] = attrs.field(factory=set)
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -29,6 +29,8 @@
     named_at: float = float("-inf")
     current: bool = False
     settled: bool = False
+    # A poll is under way.
+    polled: bool = False
 
 
 @attrs.define
@@ -64,6 +66,7 @@
     def build_poll(self, address, spreading):
         """Return the next poll of a source."""
         source = self.sources[address]
+        source.polled = True
         return Poll(
             address=self.me,
             data_centre=self.data_centre,
@@ -82,6 +85,7 @@
         if source is None:
             return
         source.feed, source.version, source.told = news.feed, news.version, news.held
+        source.polled = False
         source.heard_at = source.named_at = now
         source.current, source.settled = news.current, news.settled
         self.name_sources(news.controls, now)
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -10,6 +10,7 @@
 from lycheevalve.control import Control
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.configuration import accept_all as accept_checked
+from lycheevalve.coordination.replacement import count_wanted
 from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
 from lycheevalve.daemon.links import Links
 from lycheevalve.daemon.pumps import ask_once
@@ -101,6 +102,7 @@
             self.inbox,
             check=accept_checked,
             founding=self.settings.founding,
+            wanted=count_wanted(self.settings.tolerated_losses),
         )
         nursery.start_soon(task.run, receiver)
         await self.serve_links(nursery, self.answer_link)
--- a/lycheevalve/daemon/replication.py
+++ b/lycheevalve/daemon/replication.py
@@ -8,6 +8,7 @@
 from lycheevalve.config.site import check_change
 from lycheevalve.coordination import consensus
 from lycheevalve.coordination.configuration import Outcome
+from lycheevalve.coordination.replacement import replace_lost
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.storage import Storage
 from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
@@ -34,13 +35,17 @@
     instance.
     """
 
-    def __init__(self, settings, folder, send, tell, check=check_change, founding=None):
+    def __init__(
+        self, settings, folder, send, tell, check=check_change, founding=None, wanted=0
+    ):
         self.settings = settings
         self.folder = folder
         self.send = send
         self.tell = tell
         self.check = check
         self.founding = founding
+        # How many members to keep without an operator; 0 leaves them to operators.
+        self.wanted = wanted
         self.storage = None
         self.replica = None
         self.waiting = {}
@@ -69,7 +74,7 @@
                 with trio.move_on_after(TICK_SECONDS):
                     event = await inbox.receive()
                     await self.handle(event)
-                consensus.tick(self.replica, trio.current_time())
+                self.tick(trio.current_time())
                 await self.carry_out()
         finally:
             self.storage.close()
@@ -95,6 +100,13 @@
             index=self.replica.log.last_index(),
         )
 
+    def tick(self, now):
+        """Run what time brings about."""
+        consensus.tick(self.replica, now)
+        members = replace_lost(self.replica, self.wanted, now) if self.wanted else None
+        if members is not None:
+            logger.warning("replacing a silent replica", members=members)
+
     async def handle(self, event):
         """Take a message of another replica or a request of an operator."""
         now = trio.current_time()
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -116,6 +116,12 @@
     def open_source(self, address, now):
         """Start to poll a control replica that can be reached again."""
         if address in self.subscriptions.sources:
+            self.subscriptions.sources[address].polled = False
+            self.poll(address)
+
+    def poll(self, address):
+        """Poll a control replica, once at a time."""
+        if not self.subscriptions.sources[address].polled:
             self.send(address, self.subscriptions.build_poll(address, self.spreading))
 
     def handle_message(self, sender, message, now):
@@ -127,7 +133,9 @@
             self.handle_news(sender, message, now)
         elif isinstance(message, messages.Fetched):
             self.spreading.handle_fetched(sender, message, now)
-        self.send(sender, self.subscriptions.build_poll(sender, self.spreading))
+        if all(name != sender for name, _ in self.messages):
+            # The answer to a fetch brings the next poll, unless one is under way.
+            self.poll(sender)
 
     def handle_news(self, sender, news, now):
         """Take news of settings and upstreams."""
--- /dev/null
+++ b/lycheevalve/tests/fakes/controls.py
@@ -0,0 +1,165 @@
+"""Control replicas and entry instances joined in memory, without sockets or a log."""
+
+import json
+import random
+
+from lycheevalve.control import Control
+from lycheevalve.coordination.feeds import POLL_SECONDS
+from lycheevalve.entry import Entry
+from lycheevalve.schema.generated.messages import Change, Configuration, Fetch, Poll
+from lycheevalve.tests.fakes.edge import DOORS
+
+STEP_SECONDS = 0.02
+# A path on which nothing passes is given up after this time, as in daemon/pumps.py.
+ANSWER_SECONDS = POLL_SECONDS + 0.7
+
+
+def read_doors(document):
+    """Return the front doors of a text, which lists their numbers."""
+    return {
+        list(DOORS)[number]: list(DOORS.values())[number] for number in json.loads(document)
+    }
+
+
+class Controls:
+    """A few processes; `cuts` holds pairs between which nothing passes."""
+
+    def __init__(self, controls=2, entries=2, seed=1):
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.processes = 0
+        self.running = {}
+        self.events = []
+        self.sent = []
+        self.cuts = set()
+        # (subscriber, source) -> when the exchange under way was begun.
+        self.waiting = {}
+        self.acknowledged = {}
+        self.seeds = [f"10.0.0.{number}:7000" for number in range(1, controls + 1)]
+        self.entries = [f"10.0.1.{number}:7000" for number in range(1, entries + 1)]
+        for address in self.seeds:
+            self.start_control(address)
+        for address in self.entries:
+            self.start_entry(address)
+
+    def start_control(self, address):
+        """Start a control replica with an empty table."""
+        self.processes += 1
+        control = Control(address, "dc1", self.processes, self.random, self.now)
+        control.subscriptions.use_seeds(self.seeds, self.now)
+        control.current = True
+        self.begin(address, control)
+
+    def start_entry(self, address):
+        """Start an entry instance that knows nothing."""
+        self.processes += 1
+        entry = Entry(
+            address=address,
+            data_centre="dc1",
+            process=self.processes,
+            random=self.random,
+            now=self.now,
+            read_doors=read_doors,
+            forward=lambda upstream, cookie, packet: self.sent.append((upstream, packet)),
+            reset=lambda packet: self.sent.append((None, packet)),
+            observe=lambda name, *details: self.events.append((address, name, details)),
+        )
+        entry.subscriptions.use_seeds(self.seeds, self.now)
+        self.begin(address, entry)
+
+    def begin(self, address, process):
+        """Run a process from now on."""
+        self.running[address] = process
+        self.waiting = {pair: at for pair, at in self.waiting.items() if address not in pair}
+
+    def stop(self, address):
+        """End a process."""
+        self.begin(address, None)
+        del self.running[address]
+
+    def is_cut(self, one, other):
+        """Return whether nothing passes between two processes."""
+        return frozenset((one, other)) in self.cuts
+
+    def step(self):
+        """Let time pass: connect, exchange, run timers."""
+        self.now += STEP_SECONDS
+        for address, process in list(self.running.items()):
+            process.run_timers(self.now)
+            for source in list(process.subscriptions.sources):
+                self.connect(address, source)
+        for address in list(self.running):
+            self.deliver(address)
+        for address in self.seeds:
+            if address in self.running:
+                self.answer(address)
+
+    def connect(self, address, source):
+        """Open a path that is not open, and give up one on which nothing comes."""
+        pair = (address, source)
+        begun = self.waiting.get(pair)
+        if begun is not None and self.now - begun < ANSWER_SECONDS:
+            return
+        if begun is not None:
+            del self.waiting[pair]
+        elif source in self.running and not self.is_cut(*pair):
+            self.waiting[pair] = self.now
+            self.running[address].open_source(source, self.now)
+
+    def deliver(self, address):
+        """Carry what a process has queued for its sources."""
+        process = self.running[address]
+        queued, process.messages = process.messages, []
+        for source, message in queued:
+            control = self.running.get(source)
+            if control is None or self.is_cut(address, source):
+                continue
+            self.waiting[address, source] = self.now
+            if isinstance(message, Poll):
+                control.handle_poll(message, (address, process), self.now)
+            elif isinstance(message, Fetch):
+                answer = control.spreading.build_fetched(message.revision)
+                process.handle_message(source, answer, self.now)
+
+    def answer(self, source):
+        """Carry a control replica's answers."""
+        control = self.running[source]
+        answers, control.answers = control.answers, []
+        for reply, answer in answers:
+            if isinstance(reply, str):
+                self.acknowledged.setdefault(reply, self.now)
+                continue
+            address, process = reply
+            if self.running.get(address) is process and not self.is_cut(address, source):
+                process.handle_message(source, answer, self.now)
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.step()
+
+    def run_until(self, condition, seconds=5.0):
+        """Step until a condition holds; return the seconds it took, or None."""
+        begun = self.now
+        while self.now - begun < seconds:
+            if condition():
+                return self.now - begun
+            self.step()
+        return None
+
+    def commit(self, revision, doors=(0, 1), controls=None):
+        """Let control replicas learn that a configuration was accepted."""
+        document = json.dumps(list(doors)).encode()
+        change = Change(f"d{revision}", target_revision=revision, document=document)
+        configuration = Configuration(revision, document=document)
+        for address in controls or self.seeds:
+            if address in self.running:
+                self.running[address].take_committed(configuration, [change], self.now)
+
+    def revisions(self):
+        """Return the revision that each running entry instance applies."""
+        return [
+            self.running[address].spreading.applied.revision
+            for address in self.entries
+            if address in self.running
+        ]
--- a/lycheevalve/tests/fakes/replicas.py
+++ b/lycheevalve/tests/fakes/replicas.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lycheevalve.coordination import consensus
+from lycheevalve.coordination.replacement import replace_lost
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.storage import Stored
 from lycheevalve.schema.generated.messages import Change, Configuration
@@ -25,6 +26,11 @@
     return Change(change_id, base, [build_service(name)], author="student")
 
 
+def build_document(revision, text=b"text"):
+    """Return a change that replaces the whole configuration."""
+    return Change(f"d{revision}", target_revision=revision, document=text)
+
+
 class Disk:
     """What is synced; `write` does for a replica what Storage does."""
 
@@ -48,8 +54,11 @@
 class Replicas:
     """A few replicas, their disks, and what operators were told."""
 
-    def __init__(self, count, random, **network):
+    def __init__(self, count, random, founding=None, wanted=0, **network):
         self.random = random
+        # See start_replica; processes beyond the founders are spares.
+        self.founding = founding
+        self.wanted = wanted
         self.network = Network(random, **network)
         self.names = [f"r{number}" for number in range(1, count + 1)]
         self.disks = {name: Disk() for name in self.names}
@@ -57,16 +66,27 @@
         self.frozen = set()
         self.now = 100.0
         self.results = []
+        self.reads = []
         self.applied = {name: Configuration() for name in self.names}
+        self.started = False
         for name in self.names:
             self.restart(name)
+        self.started = True
 
     def restart(self, name):
         """Start a replica from its disk."""
         stored = copy.deepcopy(self.disks[name].stored)
+        members = self.names if self.founding is None else self.founding
         self.running[name] = consensus.start_replica(
-            name, self.names, self.random, stored, self.now
+            name,
+            members,
+            self.random,
+            stored,
+            self.now,
+            founding=None if self.founding is None else not self.started,
         )
+        if self.founding is not None:
+            self.running[name].learners = set(self.names) - {name}
 
     def crash(self, name):
         """End a replica; its disk stays."""
@@ -95,6 +115,7 @@
             self.network.send(name, receiver, copy.deepcopy(message))
         for result in effects.results:
             self.results.append((name, result))
+        self.reads += [(name, token, replica.machine.configuration) for token in effects.reads]
 
     def step(self, seconds=STEP_SECONDS, share=1.0):
         """Let time pass, tick all, deliver some of the messages."""
@@ -102,6 +123,8 @@
         for name in list(self.running):
             if name not in self.frozen:
                 consensus.tick(self.running[name], self.now)
+                if self.wanted:
+                    replace_lost(self.running[name], self.wanted, self.now)
                 self.carry_out(name)
         for sender, receiver, message in self.network.take(share):
             if receiver in self.frozen:
@@ -132,6 +155,11 @@
             self.step()
         return condition()
 
+    def read(self, name, token):
+        """Ask a leader for the newest configuration."""
+        consensus.request_read(self.running[name], token, self.now)
+        self.carry_out(name)
+
     def recover_all(self):
         """End all faults and start what is down."""
         self.network.heal()
--- /dev/null
+++ b/lycheevalve/tests/test_feeds.py
@@ -0,0 +1,234 @@
+"""Feeds and subscriptions: settings and upstreams reach the entry instances."""
+
+from lycheevalve.coordination.feeds import POLL_SECONDS, SETTLE_SECONDS
+from lycheevalve.coordination.spreading import START_SECONDS
+from lycheevalve.coordination.subscriptions import FORGET_SECONDS
+from lycheevalve.schema.generated.messages import Fetch
+from lycheevalve.tests.fakes.controls import Controls
+from lycheevalve.tests.fakes.edge import DOOR, build_packet, build_registration
+
+AT_ONCE_SECONDS = 0.2
+
+
+def build_site(**values):
+    """Return processes that have found each other."""
+    site = Controls(**values)
+    site.run(1.0)
+    return site
+
+
+def knows(site, registration):
+    """Return whether all entry instances hold this registration or a newer one."""
+    tables = [site.running[a].upstreams for a in site.entries if a in site.running]
+    found = [t.find(registration.address, registration.incarnation) for t in tables]
+    return all(u and u.registration.sequence >= registration.sequence for u in found)
+
+
+class TestSettings:
+    """A committed configuration comes into force."""
+
+    def test_reaches_all_at_once(self):
+        site = build_site()
+        site.commit(4)
+        assert site.run_until(lambda: site.revisions() == [4, 4]) < AT_ONCE_SECONDS
+
+    def test_reaches_all_through_any_one_replica(self):
+        site = build_site(controls=3)
+        site.commit(9, controls=[site.seeds[2]])
+        assert site.run_until(lambda: site.revisions() == [9, 9]) < AT_ONCE_SECONDS
+
+    def test_never_goes_back_when_a_replica_knows_less(self):
+        site = build_site()
+        site.commit(9, controls=[site.seeds[0]])
+        site.run_until(lambda: site.revisions() == [9, 9])
+        site.stop(site.seeds[0])
+        site.commit(5, controls=[site.seeds[1]])
+        site.run(3.0)
+        assert site.revisions() == [9, 9]
+
+    def test_restarted_instance_waits_for_a_replica_that_is_current(self):
+        site = build_site()
+        site.commit(5, controls=[site.seeds[1]])
+        site.commit(9, controls=[site.seeds[0]])
+        for address in site.seeds:
+            site.running[address].current = address == site.seeds[0]
+        site.start_entry(site.entries[0])
+        for _ in range(200):
+            site.step()
+            assert site.revisions()[0] in (0, 9)
+        assert site.revisions()[0] == 9
+
+    def test_cut_off_instance_serves_what_its_data_centre_knows(self):
+        """No replica in reach is current; after a while the newest known must do."""
+        site = build_site()
+        site.commit(5)
+        site.run(0.5)
+        site.running[site.seeds[0]].current = False
+        site.stop(site.seeds[1])
+        site.start_entry(site.entries[0])
+        taken = site.run_until(lambda: site.revisions()[0] == 5)
+        assert taken is not None and taken < START_SECONDS + 1.0
+
+    def test_survives_a_path_that_goes_silent(self):
+        site = build_site()
+        site.cuts = {frozenset((site.entries[0], seed)) for seed in site.seeds}
+        site.commit(5)
+        site.run(3.0)
+        assert site.revisions() == [0, 5]
+        site.cuts.clear()
+        assert site.run_until(lambda: site.revisions() == [5, 5]) < 2 * AT_ONCE_SECONDS + 1.2
+
+    def test_idle_processes_poll_at_their_interval_and_no_more(self):
+        site = build_site(controls=1, entries=1)
+        site.commit(5)
+        site.run(1.0)
+        entry = site.running[site.entries[0]]
+        entry.send_fetch(site.seeds[0], Fetch(5))
+        site.run(1.0)
+        control = site.running[site.seeds[0]]
+        polls = []
+        handle = control.handle_poll
+        control.handle_poll = lambda *call: (polls.append(1), handle(*call))
+        site.run(10.0)
+        assert len(polls) <= 10.0 / POLL_SECONDS + 1
+
+
+class TestUpstreams:
+    """What an upstream tells one replica is known to all."""
+
+    def test_new_upstream_is_known_at_once(self):
+        site = build_site()
+        registration = build_registration(1)
+        site.running[site.seeds[0]].confirm(registration, "beat", site.now)
+        assert site.run_until(lambda: knows(site, registration)) < AT_ONCE_SECONDS
+
+    def test_passes_between_replicas_to_instances_that_reach_one_alone(self):
+        site = build_site()
+        site.cuts = {frozenset((entry, site.seeds[0])) for entry in site.entries}
+        registration = build_registration(1)
+        site.running[site.seeds[0]].confirm(registration, "beat", site.now)
+        assert site.run_until(lambda: knows(site, registration)) < 2 * AT_ONCE_SECONDS
+
+    def test_farewell_is_acknowledged_when_all_have_seen_it(self):
+        site = build_site()
+        site.running[site.seeds[0]].confirm(build_registration(1), "beat", site.now)
+        site.run(0.5)
+        last = build_registration(1, draining=True, sequence=2)
+        site.running[site.seeds[0]].confirm(last, "farewell", site.now)
+        assert "farewell" not in site.acknowledged
+        assert site.run_until(lambda: "farewell" in site.acknowledged) < 0.5
+        assert knows(site, last)
+
+    def test_farewell_is_acknowledged_in_time_when_some_are_silent(self):
+        site = build_site()
+        control = site.running[site.seeds[0]]
+        control.confirm(build_registration(1), "beat", site.now)
+        site.run(0.5)
+        site.cuts = {frozenset((site.entries[0], site.seeds[0]))}
+        last = build_registration(1, draining=True, sequence=2)
+        control.confirm(last, "farewell", site.now)
+        assert site.run_until(lambda: "farewell" in site.acknowledged) < 1.0
+
+    def test_repeated_farewell_is_acknowledged(self):
+        site = build_site()
+        control = site.running[site.seeds[0]]
+        control.deregister("i-never-seen", "farewell", site.now)
+        site.step()
+        assert "farewell" in site.acknowledged
+
+    def test_name_that_left_is_gone_and_may_come_back(self):
+        site = build_site()
+        control = site.running[site.seeds[0]]
+        first = build_registration(1)
+        control.confirm(first, "beat", site.now)
+        control.deregister(first.name, "farewell", site.now)
+        site.run(1.0)
+        entry = site.running[site.entries[0]]
+        assert entry.upstreams.usable("nightsync", site.now) == []
+        control.confirm(build_registration(1, incarnation=9000), "again", site.now)
+        site.run(0.5)
+        assert len(entry.upstreams.usable("nightsync", site.now)) == 1
+
+    def test_restarted_replica_and_instance_learn_the_table_from_the_others(self):
+        site = build_site()
+        registration = build_registration(1)
+        site.running[site.seeds[0]].confirm(registration, "beat", site.now)
+        site.run(0.5)
+        site.start_control(site.seeds[1])
+        site.start_entry(site.entries[0])
+        assert site.run_until(lambda: knows(site, registration)) < 1.0
+
+    def test_renewals_keep_the_lease_everywhere(self):
+        site = build_site()
+        control = site.running[site.seeds[0]]
+        for sequence in range(1, 30):
+            control.confirm(build_registration(1, sequence=sequence), "beat", site.now)
+            site.run(0.77)
+        entry = site.running[site.entries[0]]
+        assert len(entry.upstreams.usable("nightsync", site.now)) == 1
+
+    def test_silent_upstream_ends_with_its_lease(self):
+        site = build_site()
+        site.running[site.seeds[0]].confirm(build_registration(1), "beat", site.now)
+        site.run(5.0)
+        entry = site.running[site.entries[0]]
+        assert entry.upstreams.usable("nightsync", site.now) == []
+
+
+class TestReadiness:
+    """An instance asks for packets only when it can place them."""
+
+    def test_needs_settings_and_a_settled_table(self):
+        site = Controls()
+        entry = site.running[site.entries[0]]
+        site.run(0.5)
+        assert not entry.is_ready(site.now)
+        site.commit(3)
+        site.run(0.5)
+        assert not entry.is_ready(site.now)
+        site.run(SETTLE_SECONDS)
+        assert entry.is_ready(site.now)
+
+    def test_ends_with_the_order_to_stop(self):
+        site = build_site()
+        site.commit(3)
+        site.run(SETTLE_SECONDS)
+        entry = site.running[site.entries[0]]
+        entry.leaving = True
+        assert not entry.is_ready(site.now)
+
+    def test_thawed_instance_asks_before_it_places(self):
+        site = build_site()
+        site.commit(3)
+        site.running[site.seeds[0]].confirm(build_registration(1), "beat", site.now)
+        site.run(SETTLE_SECONDS)
+        entry = site.running[site.entries[0]]
+        entry.thaw(site.now)
+        entry.steering.handle(build_packet(opens=True, door=DOOR), site.now)
+        assert site.sent == []
+        site.run(POLL_SECONDS + 0.1)
+        assert len(site.sent) == 1
+
+
+class TestSources:
+    """Which control replicas a process polls."""
+
+    def test_replicas_name_others_that_are_no_seeds(self):
+        site = build_site(controls=2)
+        spare = "10.0.0.9:7000"
+        site.start_control(spare)
+        site.seeds.append(spare)
+        site.run(2.0)
+        for address in site.entries:
+            assert spare in site.running[address].subscriptions.sources
+
+    def test_replica_that_is_gone_for_good_is_forgotten(self):
+        site = build_site(controls=3)
+        entry = site.running[site.entries[0]]
+        gone = site.seeds[2]
+        entry.subscriptions.use_seeds(site.seeds[:2], site.now)
+        for address in site.seeds[:2]:
+            site.running[address].subscriptions.use_seeds(site.seeds[:2], site.now)
+        site.stop(gone)
+        site.run(FORGET_SECONDS * 2 + 10.0)
+        assert gone not in entry.subscriptions.sources
--- a/lycheevalve/tests/test_steering.py
+++ b/lycheevalve/tests/test_steering.py
@@ -29,6 +29,8 @@
 
 
 class TestPlacement:
+    """Where flows go."""
+
     def test_first_packet_gets_the_cookie_of_its_upstream(self):
         edge = build_edge()
         upstream, cookie, _ = edge.handle(build_packet(opens=True))
@@ -101,6 +103,8 @@
 
 
 class TestReusedAddress:
+    """Addresses that another upstream takes."""
+
     def test_flow_of_a_replaced_upstream_is_reset(self):
         edge = build_edge(1)
         _, cookie, _ = edge.handle(build_packet(opens=True))
@@ -123,6 +127,8 @@
 
 
 class TestHeld:
+    """Packets that wait for settings or upstreams."""
+
     def test_packet_waits_for_its_upstream(self):
         edge = build_edge(0)
         registration = build_registration(1)
