--- /dev/null
+++ b/lycheevalve/tests/test_platform.py
@@ -0,0 +1,372 @@
+"""The adapter to the users' platform: packets, configurations, heartbeats, calls."""
+
+import json
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheevalve.coordination.configuration import Outcome
+from lycheevalve.daemon.http import Request
+from lycheevalve.exceptions import (
+    AnnouncementError,
+    DatagramError,
+    SettingsError,
+    UnavailableError,
+)
+from lycheevalve.flows.steering import Door
+from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.platform import operators, packets
+from lycheevalve.platform.documents import decompress_document, read_document, read_doors
+from lycheevalve.platform.heartbeats import read_heartbeat
+from lycheevalve.schema.generated.messages import ChangeResult, Configuration
+from lycheevalve.tests.fakes.edge import build_registration
+
+SYN = bytes.fromhex("000000001122334400000000a1b2c3d5080000006440000701bb9c41c61200010000")
+RESET = bytes.fromhex("0000000000000000000000000000000004000000c61200019c4101bb644000070000")
+FABRIC_PORT = 8172
+DOOR = (bytes([198, 18, 0, 1]), 443)
+
+
+class TestPackets:
+    """The header of 34 bytes, as the platform's page shows it."""
+
+    def test_first_packet_of_the_page(self):
+        packet = packets.read_packet(SYN)
+        assert (packet.opens, packet.copy, packet.cookie, packet.size) == (True, 0, 0, 0)
+        assert (packet.door, packet.sequence) == (DOOR, 0x11223344)
+
+    def test_reset_of_the_page(self):
+        data, address = packets.build_reset(packets.read_packet(SYN), FABRIC_PORT)
+        assert data == RESET
+        assert address == ("100.64.0.7", FABRIC_PORT)
+
+    def test_reset_carries_the_last_acknowledgement(self):
+        packet = packets.read_packet(build_data(acknowledged=777))
+        data, _ = packets.build_reset(packet, FABRIC_PORT)
+        assert packets.HEADER.unpack(data)[1] == 777
+
+    def test_forwarded_packet_changes_in_nothing_but_the_cookie(self):
+        upstreams = Upstreams()
+        upstreams.update(build_registration(1, name="i-7f3a91c2"), 0.0)
+        (upstream,) = upstreams.by_index.values()
+        data, address = packets.build_forward(upstream, 0xCAFE, packets.read_packet(SYN))
+        assert data[:8] == bytes.fromhex("000000007f3a91c2")
+        assert data[8:12] == bytes.fromhex("0000cafe")
+        assert data[12:] == SYN[4:]
+        assert address == ("10.128.0.1", 8080)
+
+    def test_copies_are_counted(self):
+        data = packets.HEADER.pack(0, 5, 2, 9, packets.SYN, bytes(3), b"abcd", 1, 2, b"efgh", 0)
+        packet = packets.read_packet(data)
+        assert (packet.opens, packet.copy) == (True, 2)
+
+    @pytest.mark.parametrize("size", [0, 1, 33])
+    def test_short_datagram_is_refused(self, size):
+        with pytest.raises(DatagramError, match="no packet"):
+            packets.read_packet(SYN[:size])
+
+    def test_false_length_is_refused(self):
+        with pytest.raises(DatagramError, match="length"):
+            packets.read_packet(SYN + b"x")
+
+    def test_unknown_flags_are_refused(self):
+        with pytest.raises(DatagramError, match="flags"):
+            packets.read_packet(SYN[:16] + b"\x48" + SYN[17:])
+
+    @given(st.binary(max_size=80))
+    def test_any_bytes_are_a_packet_or_refused(self, data):
+        try:
+            packet = packets.read_packet(data)
+        except DatagramError:
+            return
+        assert packet.raw == data
+
+    def test_name_without_digits_addresses_any_target(self):
+        assert packets.encode_target("i-zzz") == bytes(8)
+        assert packets.encode_target("i-" + "f" * 17) == bytes(8)
+
+
+def build_data(acknowledged=0, data=b"GET / HTTP/1.1\r\n"):
+    """Return a data packet of an open flow."""
+    fields = (1, 5, acknowledged, 9, packets.ACK, bytes(3), b"abcd", 1, 2, b"efgh", len(data))
+    return packets.HEADER.pack(*fields) + data
+
+
+def build_value(version=7, **changes):
+    """Return a valid configuration, with changes of its first route."""
+    route = {
+        "name": "r-1",
+        "host": "198.18.0.1",
+        "pathPrefix": "/443/",
+        "routeType": "safe",
+        "timeoutMs": 1500,
+        "service": "a",
+    }
+    route |= changes
+    return {
+        "version": version,
+        "routes": [{k: v for k, v in route.items() if v is not None}],
+        "services": [{"name": "a"}, {"name": "b"}],
+        "limits": {"idleTimeoutMs": 15000},
+    }
+
+
+def encode(value):
+    """Return a value as the body of a request."""
+    return json.dumps(value).encode()
+
+
+SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+
+
+class TestConfigurations:
+    """Operators' configurations."""
+
+    def test_text_is_kept_as_it_was_written(self):
+        body = json.dumps(build_value(), indent=3).encode()
+        document = read_document(body)
+        assert document.revision == 7
+        assert decompress_document(document.text) == body
+
+    def test_front_doors(self):
+        text = read_document(encode(build_value())).text
+        assert read_doors(text) == {DOOR: Door((("a", 1),), idempotent=True)}
+
+    def test_weights(self):
+        value = build_value(service=None, weightedBackends=SPLIT, routeType="unsafe")
+        doors = read_doors(read_document(encode(value)).text)
+        assert doors == {DOOR: Door((("a", 90), ("b", 10)), idempotent=False)}
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": "unknown"},
+            {"service": None},
+            {"service": 5},
+            {"service": None, "weightedBackends": [{"service": "x", "weight": 1}]},
+            {"service": None, "weightedBackends": [{"service": "a", "weight": 0}]},
+            {"service": None, "weightedBackends": [{"service": "a"}]},
+            {"service": None, "weightedBackends": [{"service": "a", "weight": -1}]},
+            {"service": None, "weightedBackends": "a"},
+            {"timeoutMs": 0},
+            {"timeoutMs": None},
+            {"timeoutMs": "1500"},
+            {"timeoutMs": True},
+            {"host": "front.example"},
+            {"host": None},
+            {"pathPrefix": "/"},
+            {"pathPrefix": "/70000/"},
+            {"pathPrefix": None},
+            {"name": None},
+        ],
+    )
+    def test_route_that_can_not_be_used_is_refused(self, changes):
+        with pytest.raises(SettingsError):
+            read_document(encode(build_value(**changes)))
+
+    @pytest.mark.parametrize("version", [0, -1, 1.5, "7", None, True])
+    def test_version_must_be_a_positive_integer(self, version):
+        with pytest.raises(SettingsError, match="version"):
+            read_document(encode(build_value(version)))
+
+    def test_two_routes_at_one_place_are_refused(self):
+        value = build_value()
+        value["routes"].append(value["routes"][0] | {"name": "r-2"})
+        with pytest.raises(SettingsError, match="share a place"):
+            read_document(encode(value))
+
+    def test_body_cut_anywhere_is_refused(self):
+        body = encode(build_value())
+        for size in range(len(body)):
+            with pytest.raises(SettingsError):
+                read_document(body[:size])
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(),
+            lambda inner: (
+                st.lists(inner)
+                | st.dictionaries(
+                    st.sampled_from(["version", "routes", "services", "limits", "name"]), inner
+                )
+            ),
+        )
+    )
+    def test_any_json_is_refused_or_taken_whole(self, value):
+        try:
+            document = read_document(encode(value))
+        except SettingsError:
+            return
+        assert isinstance(read_doors(document.text), dict)
+
+    def test_deep_nesting_is_refused(self):
+        with pytest.raises(SettingsError):
+            read_document(b"[" * 100_000)
+
+
+def build_heartbeat(**changes):
+    """Return a heartbeat's body."""
+    value = {
+        "service": "nightsync",
+        "address": "10.128.0.9:8080",
+        "zone": "ikeja-a",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "sequence": 4,
+        "born": 1_700_000_000_000,
+    } | changes
+    return encode({k: v for k, v in value.items() if v is not None})
+
+
+class TestHeartbeats:
+    """Heartbeats of targets, some of them from other writers."""
+
+    def test_fields_get_the_product_s_names(self):
+        registration = read_heartbeat("i-7", build_heartbeat(state="draining"), 770)
+        assert registration.name == "i-7"
+        assert registration.data_centre == "ikeja-a"
+        assert registration.draining
+        assert registration.incarnation == 1_700_000_000_000
+        assert registration.lifetime_ms == 5 * 770
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": None},
+            {"service": ""},
+            {"address": "nowhere"},
+            {"address": 5},
+            {"state": "sleeping"},
+            {"state": None},
+            {"slots": "2"},
+            {"slots": -1},
+            {"sequence": None},
+            {"sequence": 1.5},
+            {"sequence": 2**70},
+            {"born": "now"},
+            {"born": True},
+            {"zone": []},
+        ],
+    )
+    def test_heartbeat_that_can_not_be_used_names_no_upstream(self, changes):
+        with pytest.raises(AnnouncementError):
+            read_heartbeat("i-7", build_heartbeat(**changes), 770)
+
+    @pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"null", b"[" * 99_999])
+    def test_unreadable_bytes_are_refused(self, body):
+        with pytest.raises(AnnouncementError):
+            read_heartbeat("i-7", body, 770)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_refused_or_read(self, body):
+        try:
+            read_heartbeat("i-7", body, 770)
+        except AnnouncementError:
+            pass
+
+
+class FakeProcess:
+    """What the calls need of a control process, and what they told it."""
+
+    class Settings:
+        """The settings that the calls read."""
+
+        heartbeat_ms = 770
+
+    def __init__(self, held=0, fails=False):
+        self.settings = self.Settings()
+        self.decisions = self
+        self.spreading = self
+        self.held = Configuration(held)
+        self.fails = fails
+        self.proposed = []
+        self.announced = []
+        self.dismissed = []
+
+    async def propose(self, change):
+        """Accept a change."""
+        self.fail()
+        self.proposed.append(change)
+        return ChangeResult(change.change_id, Outcome.ACCEPTED, change.target_revision)
+
+    async def read(self):
+        """Return the newest configuration."""
+        self.fail()
+        return Configuration(7, document=read_document(encode(build_value())).text)
+
+    async def announce(self, registration):
+        """Take a registration."""
+        self.announced.append(registration)
+
+    async def dismiss(self, name):
+        """Take a farewell."""
+        self.dismissed.append(name)
+
+    def fail(self):
+        """Raise what a process without a leader raises."""
+        if self.fails:
+            raise UnavailableError("no leader", "ask leader", "r1")
+
+
+def call(process, method, path, body=b""):
+    """Return the Response to a call."""
+    return trio.run(operators.answer, process, Request(method, path, body, "peer"))
+
+
+class TestCalls:
+    """The calls of operators and targets."""
+
+    def test_valid_configuration_is_proposed_and_acknowledged(self):
+        process = FakeProcess()
+        response = call(process, "POST", "/Config.Replace", encode(build_value(7)))
+        assert response.status == 200
+        assert process.proposed[0].target_revision == 7
+
+    def test_invalid_configuration_is_refused_without_a_proposal(self):
+        process = FakeProcess()
+        body = encode(build_value(7, timeoutMs=0))
+        assert call(process, "POST", "/Config.Replace", body).status == 400
+        assert process.proposed == []
+
+    def test_configuration_that_is_held_is_acknowledged_without_a_leader(self):
+        process = FakeProcess(held=9, fails=True)
+        for version in (7, 9):
+            body = encode(build_value(version))
+            assert call(process, "POST", "/Config.Replace", body).status == 200
+
+    def test_invalid_configuration_under_an_old_number_is_still_refused(self):
+        body = encode(build_value(7, service="unknown"))
+        assert call(FakeProcess(held=9), "POST", "/Config.Replace", body).status == 400
+
+    def test_without_a_leader_nothing_is_acknowledged_or_read(self):
+        process = FakeProcess(fails=True)
+        body = encode(build_value(7))
+        assert call(process, "POST", "/Config.Replace", body).status == 503
+        assert call(process, "GET", "/Config.Read").status == 503
+
+    def test_read_returns_the_text(self):
+        response = call(FakeProcess(), "GET", "/Config.Read")
+        assert response.status == 200
+        assert json.loads(response.body) == build_value()
+
+    def test_heartbeat_and_farewell(self):
+        process = FakeProcess()
+        path = "/Instances.Heartbeat/i-7f3a91c2"
+        assert call(process, "POST", path, build_heartbeat()).status == 200
+        assert process.announced[0].name == "i-7f3a91c2"
+        assert call(process, "POST", "/Instances.Deregister/i-7f3a91c2").status == 200
+        assert process.dismissed == ["i-7f3a91c2"]
+
+    def test_bad_heartbeat_is_refused_and_changes_nothing(self):
+        process = FakeProcess()
+        path = "/Instances.Heartbeat/i-7f3a91c2"
+        assert call(process, "POST", path, b"\x00").status == 400
+        assert process.announced == []
+
+    def test_unknown_call(self):
+        assert call(FakeProcess(), "GET", "/elsewhere").status == 404
+        assert call(FakeProcess(), "GET", "/Config.Replace").status == 404
