Leave silent upstreams before the next request; recall upstreams after a power loss

(2) After the final fault upstreams were unknown for up to 0.6 s, and all held flows went to the first one that announced itself (26 shed with 503).

Change: idle and idempotent flows on a silent upstream are reset as soon as it is known to be silent; only one that announces itself again is tried, and not with copies. Control replicas keep the table of upstreams on disk and recall it with leases of 2 s.

--- a/lycheevalve/coordination/storage.py
+++ b/lycheevalve/coordination/storage.py
@@ -33,6 +33,7 @@
     ENTRY = 2
     TRUNCATE = 3
     SNAPSHOT = 4
+    UPSTREAMS = 5
 
 
 @attrs.define
@@ -84,6 +85,23 @@
         os.close(descriptor)
 
 
+def write_whole(file, data, sync):
+    """Write all of `data` and sync it."""
+    written = file.write(data)
+    if written != len(data):
+        raise OSError(f"wrote {written} of {len(data)} bytes")
+    sync(file.fileno())
+
+
+def replace_file(path, data, sync=os.fsync):
+    """Replace a file by one step: write beside it, sync, rename, sync."""
+    beside = path.with_name(f"{path.name}.new")
+    with open(beside, "wb", buffering=0) as file:
+        write_whole(file, data, sync)
+    beside.replace(path)
+    sync_folder(path.parent)
+
+
 @attrs.define(slots=False)
 class Storage:
     """
@@ -231,22 +249,11 @@
 
     def write_records(self, records):
         """Append records to the log and sync them."""
-        self.write_file(self.file, b"".join(records))
-
-    def write_file(self, file, data):
-        """Write all of `data` and sync it."""
-        written = file.write(data)
-        if written != len(data):
-            raise OSError(f"wrote {written} of {len(data)} bytes")
-        self.sync(file.fileno())
+        write_whole(self.file, b"".join(records), self.sync)
 
     def replace_file(self, name, data):
-        """Replace a file by one step: write beside it, sync, rename, sync."""
-        beside = self.folder / f"{name}.new"
-        with open(beside, "wb", buffering=0) as file:
-            self.write_file(file, data)
-        beside.replace(self.folder / name)
-        sync_folder(self.folder)
+        """Replace a file of the folder."""
+        replace_file(self.folder / name, data, self.sync)
 
     def close(self):
         """Close the log."""
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -11,12 +11,17 @@
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.configuration import accept_all as accept_checked
 from lycheevalve.coordination.replacement import count_wanted
+from lycheevalve.coordination.sightings import (
+    WRITE_SECONDS,
+    read_sightings,
+    write_sightings,
+)
 from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
 from lycheevalve.daemon.links import Links
 from lycheevalve.daemon.pumps import ask_once
 from lycheevalve.daemon.replication import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.roles import INBOX_EVENTS, RoleProcess
-from lycheevalve.exceptions import UnavailableError
+from lycheevalve.exceptions import StorageError, UnavailableError
 from lycheevalve.schema.generated.messages import (
     ChangeResult,
     Fetch,
@@ -105,9 +110,41 @@
             wanted=count_wanted(self.settings.tolerated_losses),
         )
         nursery.start_soon(task.run, receiver)
+        await self.recall_upstreams()
+        nursery.start_soon(self.store_upstreams)
         await self.serve_links(nursery, self.answer_link)
         await nursery.start(self.make_server(self).run)
 
+    # Upstreams that were known before.
+
+    async def recall_upstreams(self):
+        """Take what was known before the start, until upstreams announce themselves."""
+        folder = Path(self.settings.data_folder)
+        try:
+            registrations = await trio.to_thread.run_sync(read_sightings, folder)
+        except StorageError as error:
+            logger.warning("sightings not read", reason=str(error))
+            return
+        now = trio.current_time()
+        for registration in registrations:
+            self.decisions.announce(registration, now)
+        logger.info("sightings read", upstreams=len(registrations))
+
+    async def store_upstreams(self):
+        """Store the upstreams whenever one came, drains or left."""
+        folder, stored = Path(self.settings.data_folder), 0
+        while True:
+            await trio.sleep(WRITE_SECONDS)
+            version = self.decisions.feed.urgent
+            if version == stored:
+                continue
+            leases = self.decisions.upstreams.live_leases(trio.current_time())
+            try:
+                await trio.to_thread.run_sync(write_sightings, folder, leases)
+                stored = version
+            except StorageError as error:
+                logger.warning("sightings not stored", reason=str(error))
+
     # Links of other processes.
 
     async def answer_link(self, sender, message):
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -30,9 +30,10 @@
     `read_doors(document)`.
     """
 
-    def __init__(self, settings, codec):
+    def __init__(self, settings, codec, early_socket=None):
         super().__init__(settings)
         self.codec = codec
+        self.early_socket = early_socket
         self.traffic = None
         self.left_at = 0.0
         self.counted_at = trio.current_time()
@@ -51,7 +52,7 @@
 
     async def start(self, nursery):
         """Start the tasks of packets and readiness."""
-        self.traffic = Traffic(parse_address(self.settings.packets))
+        self.traffic = Traffic(parse_address(self.settings.packets), self.early_socket)
         nursery.start_soon(self.traffic.run, self.inbox)
         server = Server(self.settings.readiness, self.answer_probe)
         await nursery.start(server.run)
--- a/lycheevalve/daemon/traffic.py
+++ b/lycheevalve/daemon/traffic.py
@@ -13,14 +13,19 @@
 
 
 class Traffic:
-    """One non-blocking UDP socket; `dropped` counts what the system refused to send."""
+    """
+    One non-blocking UDP socket; `dropped` counts what the system refused to send.
 
-    def __init__(self, address):
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    A socket that was bound before is taken over.
+    """
+
+    def __init__(self, address, early_socket=None):
+        self.socket = early_socket or socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             self.socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-        self.socket.bind(address)
+        if early_socket is None:
+            self.socket.bind(address)
         self.dropped = 0
 
     def read_batch(self):
--- a/lycheevalve/flows/evidence.py
+++ b/lycheevalve/flows/evidence.py
@@ -20,7 +20,8 @@
 ANSWER_SECONDS = 0.4
 # One that answered within this time, and owes nothing, is known to answer.
 ANSWERING_SECONDS = 1.0
-# A silent upstream gets one new flow in this time, to find out whether it is back.
+# A silent upstream that announces itself gets one new flow in this time, to find
+# out whether it is back; first packets that were sent before are not risked.
 PROBE_SECONDS = 1.0
 SEQUENCE_MODULUS = 1 << 32
 
@@ -37,6 +38,10 @@
     acknowledged: int | None = None
     # Its first packet was placed here, and the upstream has not answered yet.
     opening: bool = False
+    # The newest data was answered, so nothing is under way as far as seen from here.
+    idle: bool = False
+    # Its caller's last packet without data, from which a reset can be built.
+    packet: object = None
 
 
 def is_after(one, other):
@@ -48,10 +53,13 @@
     """Learn from a packet of an open flow."""
     if flow.opening or is_progress(flow, packet):
         note_answer(flow.upstream, now)
+        flow.idle = True
     flow.opening = False
     flow.acknowledged = packet.acknowledged
     if not packet.size:
+        flow.packet = packet
         return
+    flow.idle = False
     end = (packet.sequence + packet.size) % SEQUENCE_MODULUS
     if flow.sent is None or is_after(end, flow.sent):
         flow.sent, flow.sent_at = end, now
@@ -88,11 +96,17 @@
     return upstream.unanswered == 0 and now - upstream.answered_at < ANSWERING_SECONDS
 
 
-def avoid_silent(candidates, now):
-    """Return the candidates that answer, with those that are due for another try."""
+def avoid_silent(candidates, may_probe, now):
+    """Return the candidates that answer, or one that is due for another try."""
     answering = [u for u in candidates if not is_silent(u, now)]
     if not answering:
         # More likely the way from here is gone than all of them.
         return candidates
-    due = [u for u in candidates if is_silent(u, now) and now - u.probed_at > PROBE_SECONDS]
+    due = [u for u in candidates if may_probe and is_due(u, now)]
     return due[:1] or answering
+
+
+def is_due(upstream, now):
+    """Return whether a silent upstream has announced itself since, and was not tried lately."""
+    announced = upstream.reported_at > upstream.failed_at
+    return is_silent(upstream, now) and announced and now - upstream.probed_at > PROBE_SECONDS
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -155,9 +155,34 @@
         """Return whether a caller is better off with another flow than with a silent one."""
         if not (packet.size and door.idempotent and is_silent(upstream, now)):
             return False
+        return self.has_alternative(upstream, now)
+
+    def has_alternative(self, upstream, now):
+        """Return whether another upstream of the service is known to answer."""
         others = self.candidates(upstream.service, now)
         return any(is_answering(other, now) for other in others)
 
+    def leave_silent(self, now):
+        """
+        End the flows on silent upstreams that lose nothing by it.
+
+        Those are idle ones and those whose requests their callers may repeat:
+        both then open another flow, instead of waiting on this one.
+        """
+        silent = [u for u in self.upstreams.by_index.values() if is_silent(u, now)]
+        left = [u for u in silent if u.flows and self.has_alternative(u, now)]
+        if not left:
+            return
+        for flow in [flow for flow in self.flows.values() if flow.upstream in left]:
+            packet = flow.packet
+            if packet is not None and (flow.idle or self.is_idempotent(packet)):
+                self.refuse(packet, "left_silent")
+
+    def is_idempotent(self, packet):
+        """Return whether the caller of a packet may repeat its requests."""
+        door = self.doors.get(packet.door)
+        return door is not None and door.idempotent
+
     def remember(self, packet, upstream, now):
         """Return the Flow of a packet, for the choice of upstreams."""
         flow = self.flows.get(packet.flow)
@@ -186,7 +211,7 @@
         at, tried = self.openings.get(packet.flow, (now, ()))
         if packet.copy and now - at >= REPEAT_SECONDS:
             note_repeat(tried[-1], now)
-        upstream = self.choose(door, tried, now)
+        upstream = self.choose(door, tried, packet.copy == 0, now)
         if upstream is None:
             if self.is_informed(now):
                 self.refuse(packet, "no_upstream")
@@ -199,7 +224,7 @@
         self.forward(upstream, upstream.cookie, packet)
         return True
 
-    def choose(self, door, tried, now):
+    def choose(self, door, tried, may_probe, now):
         """Return the upstream for a new flow, or None."""
         usable = [
             (weight, candidates)
@@ -210,7 +235,7 @@
             return None
         weights = [weight for weight, _ in usable]
         candidates = self.random.choices([c for _, c in usable], weights)[0]
-        candidates = avoid_silent(candidates, now)
+        candidates = avoid_silent(candidates, may_probe, now)
         fresh = [upstream for upstream in candidates if upstream not in tried]
         chosen = min(fresh or candidates, key=lambda u: self.cost(u, now))
         if is_silent(chosen, now):
@@ -251,6 +276,7 @@
     def tick(self, now):
         """Forget what is over."""
         self.retry_held(now)
+        self.leave_silent(now)
         self.expire(self.openings, lambda opening: now - opening[0] > OPENING_SECONDS)
         for key in self.find_idle(now):
             self.forget(key)
--- a/lycheevalve/platform/__main__.py
+++ b/lycheevalve/platform/__main__.py
@@ -1,104 +1,41 @@
-"""Entry of both programs: `python -m lycheevalve.platform SETTINGS`."""
+"""
+Entry of both programs: `python -m lycheevalve.platform [SETTINGS]`.
+
+An entry instance binds its packet socket before anything else: callers' first
+packets wait there while the modules load, instead of being lost.
+"""
 
 import os
-import signal
+import socket
 import sys
+import tomllib
 
-import trio
-from loguru import logger
-
-from lycheevalve.config.process import changed_options
-from lycheevalve.config.roles import ENTRY, OPTIONS, load_role
-from lycheevalve.daemon.events import Reload, Stop
-from lycheevalve.daemon.logs import set_up_logs
-from lycheevalve.exceptions import LycheevalveError
-
-EXIT_WRONG_INPUT = 2
 SETTINGS_VARIABLE = "LYCHEEVALVE_NODE_FILE"
-# The settings file may change without a signal.
-SETTINGS_SECONDS = 2.0
-
-
-def make_process(settings):
-    """Return the process of a role; each imports no more than it needs."""
-    if settings.role == ENTRY:
-        from lycheevalve.daemon.entry import EntryProcess
-        from lycheevalve.platform.codec import Codec
-
-        return EntryProcess(settings, Codec(settings))
-    from lycheevalve.daemon.control import ControlProcess
-    from lycheevalve.platform.operators import make_server
-
-    return ControlProcess(settings, make_server)
-
+# Room for what comes while the modules load, a second or two on a small machine.
+BUFFER_BYTES = 4 * 1024 * 1024
 
-async def watch_signals(process, path):
-    """Stop gracefully on SIGTERM and SIGINT, read the settings again on SIGHUP."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
-        async for number in received:
-            if number == signal.SIGHUP:
-                await reload_settings(process, path)
-            else:
-                await process.inbox.send(Stop())
 
-
-async def watch_settings(process, path):
-    """Read the settings again when their file has changed."""
-    seen = os.stat(path).st_mtime_ns
-    while True:
-        await trio.sleep(SETTINGS_SECONDS)
-        try:
-            changed_at = os.stat(path).st_mtime_ns
-        except OSError as error:
-            logger.warning("settings can't be read", reason=str(error))
-            continue
-        if changed_at != seen:
-            seen = changed_at
-            await reload_settings(process, path)
-
-
-async def reload_settings(process, path):
-    """Take over what can be reloaded; bad settings change nothing."""
-    settings = None
+def bind_early(path):
+    """Return the packet socket of a settings file, or None; errors are reported later."""
     try:
-        settings = load_role(path)
-    except* LycheevalveError as group:
-        for error in group.exceptions:
-            logger.error("settings not reloaded", reason=str(error))
-    if settings is None:
-        return
-    reloadable, fixed = changed_options(process.settings, settings, OPTIONS)
-    for name in fixed:
-        logger.warning("needs a restart, not reloaded", option=name)
-        setattr(settings, name, getattr(process.settings, name))
-    await process.inbox.send(Reload(settings))
-    logger.info("reloaded", changed=reloadable)
-
-
-async def run_process(settings, path):
-    """Run the process and watch signals and settings until it is over."""
-    process = make_process(settings)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch_signals, process, path)
-        nursery.start_soon(watch_settings, process, path)
-        await process.run()
-        nursery.cancel_scope.cancel()
+        with open(path, "rb") as file:
+            host, port = tomllib.load(file)["packets"].split(":")
+    except (OSError, ValueError, KeyError, AttributeError):
+        return None
+    early = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    early.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    early.bind((host, int(port)))
+    return early
 
 
 def main(arguments):
     """Run one process; return its exit code."""
     path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
-    settings = None
-    try:
-        settings = load_role(path)
-    except* LycheevalveError as group:
-        for error in group.exceptions:
-            print(f"lycheevalve: {error}", file=sys.stderr)
-    if settings is None:
-        return EXIT_WRONG_INPUT
-    set_up_logs(settings.log_level, instance=settings.name)
-    trio.run(run_process, settings, path)
-    return 0
+    early_socket = bind_early(path)
+    # Only now: the imports take most of the start.
+    from lycheevalve.platform.run import run
+
+    return run(path, early_socket)
 
 
 if __name__ == "__main__":
--- a/lycheevalve/schema/generate.py
+++ b/lycheevalve/schema/generate.py
@@ -63,7 +63,7 @@
         for number, spec in sorted(struct.thrift_spec.items())
     ]
     name = struct.__name__
-    lines = ["@attrs.define", f"class {name}:"]
+    lines = ["@attrs.define(eq=False, repr=False)", f"class {name}(Struct):"]
     lines.append(f'    """The struct {name} of the schema."""\n')
     lines.append("    thrift_spec: ClassVar[tuple]\n")
     lines += [attribute for attribute, _ in fields]
@@ -112,10 +112,11 @@
     foreign = sorted(s.__name__ for s in structs if s not in own)
     header = f'"""Generated from {name}.thrift by schema/generate.py; do not edit."""\n'
     imports = ["import enum"] if hasattr(module, "Kind") else []
-    imports += ["from typing import ClassVar", "", "import attrs"]
+    imports += ["from typing import ClassVar", "", "import attrs", ""]
+    imports += ["from lycheevalve.schema.structs import Struct"]
     if foreign:
         names = ", ".join(foreign)
-        imports += ["", f"from lycheevalve.schema.generated.settings import {names}"]
+        imports[-1:-1] = [f"from lycheevalve.schema.generated.settings import {names}"]
     parts = [header + "\n" + "\n".join(imports)]
     parts += [build_struct(struct) for struct in own]
     if hasattr(module, "Kind"):
--- a/lycheevalve/tests/test_storage.py
+++ b/lycheevalve/tests/test_storage.py
@@ -8,11 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheevalve.coordination import consensus
+from lycheevalve.coordination import consensus, sightings
 from lycheevalve.coordination.replica import Effects, Role
+from lycheevalve.coordination.sightings import LEASE_MS, read_sightings, write_sightings
 from lycheevalve.coordination.storage import LOG_NAME, Storage
 from lycheevalve.exceptions import StorageError
 from lycheevalve.schema.generated.messages import Configuration, Entry, HardState, Snapshot
+from lycheevalve.tests.fakes.edge import build_registration
 from lycheevalve.tests.fakes.replicas import build_change
 
 
@@ -34,6 +36,48 @@
     return sizes
 
 
+class TestSightings:
+    """Upstreams that a control replica knew before its start."""
+
+    def test_come_back_with_a_short_lease(self, tmp_path):
+        known = [build_registration(1), build_registration(2, draining=True)]
+        write_sightings(tmp_path, known)
+        found = read_sightings(tmp_path)
+        assert [(r.name, r.draining) for r in found] == [(r.name, r.draining) for r in known]
+        assert {r.lifetime_ms for r in found} == {LEASE_MS}
+
+    def test_who_left_does_not_come_back(self, tmp_path):
+        write_sightings(tmp_path, [build_registration(1, leaving=True)])
+        assert read_sightings(tmp_path) == []
+
+    def test_no_file_means_nothing_known(self, tmp_path):
+        assert read_sightings(tmp_path) == []
+
+    def test_damage_is_named_and_never_used(self, tmp_path):
+        write_sightings(tmp_path, [build_registration(1)])
+        path = tmp_path / sightings.FILE_NAME
+        data = path.read_bytes()
+        for position in range(len(data)):
+            path.write_bytes(
+                data[:position] + bytes([data[position] ^ 1]) + data[position + 1 :]
+            )
+            try:
+                assert read_sightings(tmp_path) == []
+            except StorageError as error:
+                assert "upstreams" in str(error)
+
+    def test_full_disk_keeps_the_old_file(self, tmp_path, monkeypatch):
+        write_sightings(tmp_path, [build_registration(1)])
+
+        def refuse(*_):
+            raise OSError(28, "No space left on device")
+
+        monkeypatch.setattr("lycheevalve.coordination.storage.write_whole", refuse)
+        with pytest.raises(StorageError, match="No space"):
+            write_sightings(tmp_path, [])
+        assert len(read_sightings(tmp_path)) == 1
+
+
 class TestTail:
     """A log that ends inside its last record."""
 
