Spread elections in time; prefer near upstreams by one flow a slot

In zone cuts, flows on upstreams behind the cut broke although near ones had room.

Change: the task of a replica waits until its own next time; a candidate whose votes did not suffice tries again after 0.3 to 0.8 s. The choice of an upstream adds one flow a slot to those of other data centres.

Proof: 40 elections after a common start, 36 within 0.5 s and all within 1.2 s; with the old pause of a candidate the test fails.

--- a/lycheevalve/coordination/elections.py
+++ b/lycheevalve/coordination/elections.py
@@ -5,6 +5,8 @@
     ELECTION_MIN_SECONDS,
     PRE_VOTE_MAX_SECONDS,
     PRE_VOTE_MIN_SECONDS,
+    VOTE_MAX_SECONDS,
+    VOTE_MIN_SECONDS,
     Progress,
     Role,
 )
@@ -29,7 +31,7 @@
     if pre:
         replica.wait_for_election(now, PRE_VOTE_MIN_SECONDS, PRE_VOTE_MAX_SECONDS)
     else:
-        replica.reset_election(now)
+        replica.wait_for_election(now, VOTE_MIN_SECONDS, VOTE_MAX_SECONDS)
         replica.hard.term += 1
         replica.hard.voted_for = replica.name
         replica.save_hard_state()
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -17,6 +17,9 @@
 # Promises that were not given may be asked for again soon: nothing is stored for them.
 PRE_VOTE_MIN_SECONDS = 0.15
 PRE_VOTE_MAX_SECONDS = 0.45
+# Votes take a sync at each replica, which a slow disk stretches to tenths of a second.
+VOTE_MIN_SECONDS = 0.3
+VOTE_MAX_SECONDS = 0.8
 # A leader that has not heard from a quorum for this long steps down.
 LEASE_SECONDS = 0.8
 
@@ -150,6 +153,12 @@
         """Return whether `others` full members and this replica are a majority."""
         return others + self.is_member() >= self.quorum()
 
+    def next_due(self):
+        """Return when time alone brings something about for the role."""
+        if self.role is Role.LEADER:
+            return self.heartbeat_at
+        return self.probe_at if self.role is Role.BLANK else self.election_at
+
     def has_lease(self, now):
         """Return whether a quorum has answered this leader recently."""
         progress = self.full_progress()
--- a/lycheevalve/daemon/replication.py
+++ b/lycheevalve/daemon/replication.py
@@ -71,7 +71,7 @@
             await self.carry_out()
             await self.publish(changes=[], is_new=True)
             while True:
-                with trio.move_on_after(TICK_SECONDS):
+                with trio.move_on_after(self.wait_seconds()):
                     event = await inbox.receive()
                     await self.handle(event)
                 self.tick(trio.current_time())
@@ -100,6 +100,11 @@
             index=self.replica.log.last_index(),
         )
 
+    def wait_seconds(self):
+        """Return how long to wait for an event: replicas must not all wake at once."""
+        due = self.replica.next_due() - trio.current_time()
+        return min(TICK_SECONDS, max(0.0, due))
+
     def tick(self, now):
         """Run what time brings about."""
         consensus.tick(self.replica, now)
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -60,6 +60,7 @@
             reset=self.reset,
             observe=self.count,
             is_informed=self.is_informed,
+            data_centre=self.data_centre,
         )
         self.spreading = Spreading(
             send=self.send_fetch,
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -31,6 +31,9 @@
 HOLD_PACKETS = 1024
 # An opening packet's copies come within this time of the first one.
 OPENING_SECONDS = 2.0
+# An upstream of another data centre gets a flow when it has this many flows a slot
+# less than those of the own: a cut between data centres then breaks fewer flows.
+FAR_FLOWS_PER_SLOT = 1.0
 # Flows that this instance keeps in mind, and for how long after their last packet.
 FLOWS_KEPT = 65_536
 FLOW_IDLE_SECONDS = 15.0
@@ -85,6 +88,7 @@
     observe: object
     # Whether settings and upstreams are known well enough to refuse.
     is_informed: object
+    data_centre: str = ""
     cookies: Cookies = attrs.field(factory=Cookies)
     doors: dict[tuple, Door] | None = None
     # No flow is placed while the settings need a confirmation.
@@ -249,8 +253,9 @@
     def cost(self, upstream, now):
         """Return how full an upstream looks from here; the lowest is chosen."""
         slots = max(1, upstream.registration.slots)
-        failures = weigh_failures(upstream, now)
-        return (upstream.flows + 1) / slots * 2.0**failures, self.random.random()
+        load = (upstream.flows + 1) / slots * 2.0 ** weigh_failures(upstream, now)
+        near = upstream.registration.data_centre == self.data_centre
+        return load + (0.0 if near else FAR_FLOWS_PER_SLOT), self.random.random()
 
     # Packets that wait.
 
--- a/lycheevalve/tests/test_documents.py
+++ b/lycheevalve/tests/test_documents.py
@@ -396,3 +396,26 @@
 
 
 TestAcceptedDocuments = Documents.TestCase
+
+
+class TestElections:
+    """Elections after all replicas started at the same moment."""
+
+    def elect(self, seed):
+        """Return the seconds from a common start to a leader that can accept."""
+        replicas = settle(seed=seed)
+        for name in replicas.names:
+            replicas.crash(name)
+        for name in replicas.names:
+            replicas.restart(name)
+        begun = replicas.now
+        while not replicas.leaders():
+            due = min(r.next_due() for r in replicas.running.values() if r.is_member())
+            pause = 0.0 if replicas.network.queue else due - replicas.now
+            replicas.step(max(0.002, pause))
+        return replicas.now - begun
+
+    def test_leader_is_there_within_half_a_second_nearly_always(self):
+        taken = sorted(self.elect(seed) for seed in range(40))
+        assert taken[35] < 0.5
+        assert taken[-1] < 1.2
