Let replicas that only follow rest until a message comes

Ruled out: the election itself (the other replicas never got to it).

Change: only members that may campaign, lead or probe have a next turn.

--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -154,10 +154,16 @@
         return others + self.is_member() >= self.quorum()
 
     def next_due(self):
-        """Return when time alone brings something about for the role."""
-        if self.role is Role.LEADER:
-            return self.heartbeat_at
-        return self.probe_at if self.role is Role.BLANK else self.election_at
+        """Return when time alone brings something about; never, for who only follows."""
+        due = {
+            Role.BLANK: self.probe_at,
+            Role.LEADER: self.heartbeat_at,
+            Role.FOLLOWER: self.election_at,
+            Role.CANDIDATE: self.election_at,
+        }
+        if self.role is Role.BLANK or self.is_member():
+            return due.get(self.role, float("inf"))
+        return float("inf")
 
     def has_lease(self, now):
         """Return whether a quorum has answered this leader recently."""
--- a/lycheevalve/tests/test_documents.py
+++ b/lycheevalve/tests/test_documents.py
@@ -415,6 +415,17 @@
             replicas.step(max(0.002, pause))
         return replicas.now - begun
 
+    def test_nobody_is_due_right_after_its_turn(self):
+        """A replica that is always due never lets its process rest."""
+        replicas = settle()
+        replicas.lose_disk("r3")
+        replicas.restart("r3")
+        for _ in range(200):
+            replicas.step()
+            for replica in replicas.running.values():
+                consensus.tick(replica, replicas.now)
+                assert replica.next_due() > replicas.now
+
     def test_leader_is_there_within_half_a_second_nearly_always(self):
         taken = sorted(self.elect(seed) for seed in range(40))
         assert taken[35] < 0.5
