Trust nothing that was heard before a freeze; log to standard output

Cause: a suspended machine's steady clock stands still, so a control replica that wakes could call itself current, on the word of a leader that has been replaced meanwhile, and a starting entry instance would take old settings from it.

Logs go to standard output, as the house style asks.

Also proved, without a fault found: a full disk, also one that takes a part of a write: nothing is acknowledged meanwhile, and the replica goes on afterwards (test_replica_task.py).

--- a/lycheevalve/coordination/consensus.py
+++ b/lycheevalve/coordination/consensus.py
@@ -55,6 +55,9 @@
     VoteRequest,
 )
 
+# What was sent to a frozen process is read within this time after it wakes.
+BACKLOG_SECONDS = 0.5
+
 TICKS = {
     Role.BLANK: tick_blank,
     Role.LEADER: tick_leader,
@@ -140,7 +143,21 @@
         return False
     if replica.role is Role.LEADER:
         return replica.has_lease(now)
-    return now - replica.heard_at < LEASE_SECONDS
+    heard_lately = now - replica.heard_at < LEASE_SECONDS
+    return heard_lately and replica.heard_at >= replica.trusted_from
+
+
+def thaw(replica, now):
+    """
+    Trust nothing that was heard before the process was frozen.
+
+    A suspended machine's clock stands still, so the age of what was heard
+    can't tell: a leader must hear from a quorum again, a follower from its leader,
+    once what was under way before has arrived.
+    """
+    replica.trusted_from = now + BACKLOG_SECONDS
+    if replica.role is Role.LEADER:
+        replica.step_down(replica.hard.term, now)
 
 
 def request_read(replica, token, now):
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -97,6 +97,8 @@
     applied: int = 0
     leader: str = ""
     heard_at: float = float("-inf")
+    # What was heard before this time may be old, see consensus.thaw.
+    trusted_from: float = float("-inf")
     election_at: float = 0.0
     heartbeat_at: float = 0.0
     led_since: float = float("-inf")
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -16,7 +16,15 @@
     read_sightings,
     write_sightings,
 )
-from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
+from lycheevalve.daemon.events import (
+    Committed,
+    Learners,
+    Query,
+    Received,
+    ReplicaView,
+    Stop,
+    Thawed,
+)
 from lycheevalve.daemon.links import Links
 from lycheevalve.daemon.pumps import ask_once
 from lycheevalve.daemon.replication import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
@@ -255,6 +263,14 @@
         """Log what operators should see."""
         logger.info(name, details=[repr(detail) for detail in details])
 
+    def handle_thaw(self):
+        """Let the replica trust nothing that it heard before."""
+        self.decisions.current = False
+        try:
+            self.replica_inbox.send_nowait(Thawed())
+        except trio.WouldBlock:
+            logger.warning("the replica is busy and does not hear of the freeze")
+
     async def handle_stop(self, event):
         """Hand the leadership on, then end."""
         if not self.left_at:
--- a/lycheevalve/daemon/events.py
+++ b/lycheevalve/daemon/events.py
@@ -63,3 +63,8 @@
     """The processes that get the log beside its members."""
 
     names: frozenset
+
+
+@attrs.frozen
+class Thawed:
+    """The process was frozen; what it heard before is old."""
--- a/lycheevalve/daemon/logs.py
+++ b/lycheevalve/daemon/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines on standard output."""
 
 import json
 import sys
@@ -18,11 +18,11 @@
     }
     if record["exception"] is not None:
         line["error"] = repr(record["exception"].value)
-    print(json.dumps(line, default=str), file=sys.stderr, flush=True)
+    print(json.dumps(line, default=str), file=sys.stdout, flush=True)
 
 
 def set_up_logs(level, **extra):
-    """Send all logs to standard error, with `extra` in each line."""
+    """Send all logs to standard output, with `extra` in each line."""
     logger.remove()
     logger.configure(extra=extra)
     logger.add(write_line, level=level)
--- a/lycheevalve/daemon/replication.py
+++ b/lycheevalve/daemon/replication.py
@@ -11,7 +11,15 @@
 from lycheevalve.coordination.replacement import replace_lost
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.storage import Storage
-from lycheevalve.daemon.events import Committed, Learners, Query, Received, ReplicaView, Stop
+from lycheevalve.daemon.events import (
+    Committed,
+    Learners,
+    Query,
+    Received,
+    ReplicaView,
+    Stop,
+    Thawed,
+)
 from lycheevalve.exceptions import StorageError
 from lycheevalve.schema.generated.messages import (
     Change,
@@ -115,6 +123,9 @@
     async def handle(self, event):
         """Take a message of another replica or a request of an operator."""
         now = trio.current_time()
+        if isinstance(event, Thawed):
+            consensus.thaw(self.replica, now)
+            return
         if isinstance(event, Received):
             consensus.handle(self.replica, event.sender, event.message, now)
         elif isinstance(event, Query):
--- a/lycheevalve/tests/test_documents.py
+++ b/lycheevalve/tests/test_documents.py
@@ -168,6 +168,41 @@
         assert all(consensus.is_current(r, replicas.now) for r in replicas.running.values())
 
 
+class TestThaw:
+    """Replicas whose machine was suspended: their clock stood still."""
+
+    def suspend(self, name_of):
+        """Let others accept a configuration that a suspended replica misses; wake it."""
+        replicas = settle()
+        accept(replicas, 5)
+        replicas.run_until(lambda: False, 10)
+        name = name_of(replicas)
+        replicas.frozen.add(name)
+        assert replicas.run_until(lambda: any(n != name for n in replicas.leaders()), 200)
+        accept(replicas, 8)
+        replica = replicas.running[name]
+        # Its own clock stood still: all that it heard looks fresh.
+        replica.heard_at = replicas.now
+        for progress in replica.progress.values():
+            progress.acked_at = replicas.now
+        consensus.thaw(replica, replicas.now)
+        return replicas, replica
+
+    def test_follower_is_not_current_before_it_has_heard(self):
+        replicas, replica = self.suspend(
+            lambda site: next(n for n in FOUNDERS if n not in site.leaders())
+        )
+        assert not consensus.is_current(replica, replicas.now)
+        replicas.frozen.clear()
+        assert replicas.run_until(lambda: consensus.is_current(replica, replicas.now))
+        assert replica.machine.configuration.revision == 8
+
+    def test_leader_leads_no_more(self):
+        replicas, replica = self.suspend(lambda site: site.leaders()[0])
+        assert not consensus.can_propose(replica, replicas.now)
+        assert not consensus.is_current(replica, replicas.now)
+
+
 class TestLearners:
     """Processes that get the log without counting."""
 
--- /dev/null
+++ b/lycheevalve/tests/test_replica_task.py
@@ -0,0 +1,152 @@
+"""The task of a replica: a disk that fails and works again."""
+
+import errno
+import random
+
+import trio
+import trio.testing
+
+from lycheevalve.control import Control
+from lycheevalve.coordination import storage
+from lycheevalve.coordination.configuration import Outcome
+from lycheevalve.coordination.configuration import accept_all as accept_checked
+from lycheevalve.daemon.control import ReplicaNames
+from lycheevalve.daemon.events import Committed, Query
+from lycheevalve.daemon.replication import ReplicaTask
+from lycheevalve.schema.generated.messages import ReadRequest
+from lycheevalve.tests.fakes.replicas import build_document
+
+ME = "10.0.0.1:7000"
+
+
+class Disk:
+    """A disk that may be full: then no write is taken, or only a part of one."""
+
+    def __init__(self, monkeypatch):
+        self.full = False
+        self.write_whole = storage.write_whole
+        monkeypatch.setattr(storage, "write_whole", self.write)
+
+    def write(self, file, data, sync):
+        """Write all, or a part and fail."""
+        if self.full:
+            file.write(data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "No space left on device")
+        self.write_whole(file, data, sync)
+
+
+class Task:
+    """One replica that is its own quorum, and its operator."""
+
+    def __init__(self, folder):
+        self.inbox, self.receiver = trio.open_memory_channel(64)
+        self.tell, self.told = trio.open_memory_channel(10_000)
+        self.task = ReplicaTask(
+            ReplicaNames(ME, [ME]),
+            folder,
+            send=lambda *message: None,
+            tell=self.tell,
+            check=accept_checked,
+            founding=True,
+        )
+
+    async def ask(self, message):
+        """Return the answer to an operator's message."""
+        reply, answers = trio.open_memory_channel(1)
+        await self.inbox.send(Query(message, reply))
+        with trio.move_on_after(5):
+            return await answers.receive()
+
+    async def accept(self, revision):
+        """Ask until a configuration is accepted."""
+        for _ in range(100):
+            result = await self.ask(build_document(revision))
+            if result is not None and result.outcome in (
+                Outcome.ACCEPTED,
+                Outcome.SUPERSEDED,
+            ):
+                return result
+            await trio.sleep(0.2)
+        raise AssertionError("not accepted")
+
+    def committed(self):
+        """Return what the instance was told of."""
+        events = []
+        try:
+            while True:
+                event = self.told.receive_nowait()
+                if isinstance(event, Committed):
+                    events.append(event)
+        except trio.WouldBlock:
+            return events
+
+
+def run(folder, scenario):
+    """Run `scenario(task)` beside the task of a replica."""
+
+    async def main():
+        task = Task(folder)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(task.task.run, task.receiver)
+            await scenario(task)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.05))
+
+
+class TestFullDisk:
+    """A full disk refuses every write; later it takes them again."""
+
+    def test_acknowledges_nothing_meanwhile_and_goes_on_afterwards(self, tmp_path, monkeypatch):
+        disk = Disk(monkeypatch)
+
+        async def scenario(task):
+            await task.accept(5)
+            disk.full = True
+            result = await task.ask(build_document(6))
+            assert result is None or result.outcome == Outcome.UNAVAILABLE
+            read = await task.ask(ReadRequest())
+            assert read is None or not read.current
+            disk.full = False
+            await task.accept(7)
+            read = await task.ask(ReadRequest())
+            assert read.configuration.revision == 7
+            control = Control(ME, "dc1", 1, random.Random(1), 0.0)
+            held = []
+            for event in task.committed():
+                control.take_committed(event.configuration, event.changes, 0.0)
+                held.append(control.spreading.held.revision)
+            assert held == sorted(held)
+            assert held[-1] == 7
+
+        run(tmp_path, scenario)
+
+    def test_what_was_acknowledged_is_there_after_the_next_start(self, tmp_path, monkeypatch):
+        disk = Disk(monkeypatch)
+
+        async def before(task):
+            await task.accept(5)
+            disk.full = True
+            await task.ask(build_document(6))
+
+        async def after(task):
+            read = None
+            while read is None or not read.current:
+                read = await task.ask(ReadRequest())
+                await trio.sleep(0.1)
+            assert read.configuration.revision == 5
+
+        run(tmp_path, before)
+        disk.full = False
+        run(tmp_path, after)
+
+    def test_starts_on_a_full_disk_and_waits(self, tmp_path, monkeypatch):
+        disk = Disk(monkeypatch)
+        disk.full = True
+
+        async def scenario(task):
+            await trio.sleep(3)
+            disk.full = False
+            await task.accept(5)
+
+        run(tmp_path, scenario)
