Measure the adapter's path beside the bare relay; cheaper packets

Change: scripts/bench forward runs an entry instance with one upstream and no control replicas; packets are plain slotted classes, since frozen ones set each field through a call.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -18,6 +18,7 @@
 
 import fire
 
+from bench import steered
 from bench.deployment import Deployment
 from lycheevalve.flows.announcements import build_announcement
 from lycheevalve.tests.fakes.proxy import build_header
@@ -150,17 +151,21 @@
         relay_port = port + 200
         arguments = [sys.executable, "-c", BARE_RELAY, str(relay_port), str(port + 300)]
         relay = subprocess.Popen(arguments)
+        steered_port = port + 250
+        arguments = [sys.executable, "-m", "bench.steered", str(steered_port), str(port + 300)]
+        entry = subprocess.Popen(arguments)
         site.start_instance("a1")
         try:
-            run(site, relay, source, sink, relay_port, flows, count)
+            run(site, relay, entry, source, sink, relay_port, steered_port, flows, count)
         finally:
-            relay.kill()
-            relay.wait()
+            for process in (relay, entry):
+                process.kill()
+                process.wait()
             site.stop_all()
 
 
-def run(site, relay, source, sink, relay_port, flows, count):
-    """Set both forwarders up, measure them in turns, print the lines."""
+def run(site, relay, entry, source, sink, relay_port, steered_port, flows, count):
+    """Set the forwarders up, measure them in turns, print the lines."""
     files = site.folder / "base.toml", site.folder / "overlay.toml"
     while site.command("apply", *files, "--wait", 15).returncode:
         time.sleep(0.2)
@@ -174,6 +179,7 @@
     placed = push(source, sink, target, datagrams, flows)
     time.sleep(1.0)
     per_flow = (resident_bytes(process.pid) - before) / max(1, placed)
+    carried = steered.build_datagrams(parse_address(site.address(300))[1], flows)
     lines = []
     for _ in range(2):
         bare = measure(
@@ -182,12 +188,15 @@
         lines += [
             bare,
             measure("instance", process, source, sink, target, datagrams, count),
+            measure(
+                "steered", entry, source, sink, ("127.0.0.1", steered_port), carried, count
+            ),
         ]
     for line in lines:
         print(json.dumps(line))
     rates = {
         name: max(x["per_cpu_second"] for x in lines if x["name"] == name)
-        for name in ("bare relay", "instance")
+        for name in ("bare relay", "instance", "steered")
     }
     summary = {
         "bench": "forward",
@@ -195,7 +204,9 @@
         "flows": placed,
         "bytes_per_flow": round(per_flow, 1),
         "ratio": round(rates["instance"] / rates["bare relay"], 3),
+        "steered_ratio": round(rates["steered"] / rates["bare relay"], 3),
         "wanted_ratio": 0.333,
+        "wanted_steered_ratio": 0.5,
         "wanted_bytes_per_flow": 200,
     }
     print(json.dumps(summary))
--- /dev/null
+++ b/bench/steered.py
@@ -0,0 +1,76 @@
+"""
+One entry instance that knows one upstream, for `scripts/bench forward`.
+
+It runs as in a deployment, but for control replicas: settings and the upstream
+are put into its decisions at the start.
+"""
+
+import socket
+import sys
+
+import trio
+
+from lycheevalve.config.roles import ENTRY
+from lycheevalve.daemon.entry import EntryProcess
+from lycheevalve.daemon.logs import set_up_logs
+from lycheevalve.flows.cookies import build_cookie
+from lycheevalve.flows.steering import Door
+from lycheevalve.platform.codec import Codec
+from lycheevalve.platform.packets import ACK, HEADER, NO_PAD
+from lycheevalve.schema.generated.messages import Registration
+from lycheevalve.schema.generated.settings import Role
+
+HOST = "127.0.0.1"
+DOOR = (socket.inet_aton("198.18.0.1"), 443)
+DATA = bytes(64)
+
+
+def build_upstream(port):
+    """Return the registration of the sink."""
+    return Registration(
+        service_name="nightsync",
+        address=f"{HOST}:{port}",
+        data_centre="dc1",
+        incarnation=1,
+        sequence=1,
+        lifetime_ms=3_600_000,
+        slots=3,
+        name="i-1",
+    )
+
+
+def build_datagram(number, cookie):
+    """Return a data packet of the open flow of one caller."""
+    caller = bytes((10, number >> 16, number >> 8 & 255, number & 255))
+    head = HEADER.pack(cookie, 1, 1, 0, ACK, NO_PAD, caller, DOOR[1], 5000, DOOR[0], len(DATA))
+    return head + DATA
+
+
+def build_datagrams(sink_port, flows):
+    """Return one datagram of each flow."""
+    cookie = build_cookie(build_upstream(sink_port))
+    return [build_datagram(number, cookie) for number in range(flows)]
+
+
+async def run(port, sink_port):
+    """Run the instance for ever."""
+    settings = Role(
+        role=ENTRY,
+        name="e1",
+        data_centre="dc1",
+        ip=HOST,
+        link_port=port + 1,
+        packets=f"{HOST}:{port}",
+        readiness=f"{HOST}:{port + 2}",
+        key="a key of sixteen bytes",
+    )
+    process = EntryProcess(settings, Codec(settings))
+    steering, now = process.decisions.steering, trio.current_time()
+    steering.learn(build_upstream(sink_port), now)
+    steering.put_in_force({DOOR: Door((("nightsync", 1),), idempotent=True)}, now)
+    await process.run()
+
+
+if __name__ == "__main__":
+    set_up_logs("ERROR")
+    trio.run(run, *map(int, sys.argv[1:]))
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -39,7 +39,7 @@
 FLOW_IDLE_SECONDS = 15.0
 
 
-@attrs.frozen
+@attrs.define
 class Packet:
     """
     One packet of a caller, as the codec read it.
