--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -34,6 +34,7 @@
 
 CONSENSUS = "test_consensus.py"
 DOCUMENTS = "test_documents.py"
+LEADERSHIP = "test_leadership.py"
 STEERING = "test_steering.py"
 FLOWS = "test_flows.py"
 REQUESTS = "test_requests.py"
@@ -271,14 +272,14 @@
         "coordination/replica.py",
         "            if name in self.members and not progress.recovering",
         "            if not progress.recovering",
-        f"{DOCUMENTS}::TestLearners",
+        f"{LEADERSHIP}::TestLearners",
     ),
     Mutant(
         "whole configurations: nobody is replaced",
         "coordination/replacement.py",
         "if not can_propose(replica, now):",
         "if True:",
-        f"{DOCUMENTS}::TestReplacement",
+        f"{LEADERSHIP}::TestReplacement",
     ),
     Mutant(
         "whole configurations: a freeze is not noted",
--- /dev/null
+++ b/lycheevalve/tests/fakes/documents.py
@@ -0,0 +1,47 @@
+"""Replicas that hold whole configurations: founders, spares, and an operator."""
+
+import random
+
+from lycheevalve.tests.fakes.replicas import Replicas, build_document
+
+FOUNDERS = ["r1", "r2", "r3"]
+
+
+def settle(count=4, seed=1, wanted=3, **network):
+    """Return replicas of which the founders lead a log and the others learn."""
+    replicas = Replicas(count, random.Random(seed), FOUNDERS, wanted, **network)
+    assert replicas.run_until(lambda: is_settled(replicas))
+    return replicas
+
+
+def is_settled(replicas):
+    """Return whether there is a leader and all that run have its log."""
+    leaders = replicas.leaders()
+    if len(leaders) != 1:
+        return False
+    leader = replicas.running[leaders[0]]
+    held = [r.commit for r in replicas.running.values()]
+    return leader.has_committed_in_term() and min(held) == leader.commit
+
+
+def accept(replicas, revision, text=b"text"):
+    """Replace the configuration; return the ChangeResult."""
+    change = build_document(revision, text)
+    before = len(replicas.results)
+
+    def find():
+        answers = [result for _, result in replicas.results[before:]]
+        return next((r for r in answers if r.change_id == change.change_id), None)
+
+    for _ in range(40):
+        for name in replicas.leaders():
+            replicas.propose(name, change)
+        if replicas.run_until(find, 10):
+            return find()
+    raise AssertionError("not accepted")
+
+
+def held_by(replicas, name):
+    """Return (number, text) of the configuration that a replica has applied."""
+    configuration = replicas.running[name].machine.configuration
+    return configuration.revision, configuration.document
--- /dev/null
+++ b/lycheevalve/tests/fakes/faults.py
@@ -0,0 +1,78 @@
+"""The faults of replicas as rules; machines add operators and an oracle."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from lycheevalve.coordination import consensus
+
+
+class ReplicaFaults(RuleBasedStateMachine):
+    """Crashes, lost disks, cuts and freezes; subclasses set `replicas` at their start."""
+
+    def __init__(self):
+        super().__init__()
+        self.replicas = None
+
+    def is_started(self):
+        """Return whether there are replicas."""
+        return self.replicas is not None
+
+    def collect(self):
+        """Compare what operators were told with the oracle."""
+        raise NotImplementedError
+
+    @precondition(is_started)
+    @rule(steps=st.integers(1, 40), share=st.sampled_from([0.3, 1.0, 1.0]))
+    def pass_time(self, steps, share):
+        for _ in range(steps):
+            self.replicas.step(share=share)
+            self.collect()
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4), after_sync=st.booleans())
+    def crash(self, number, after_sync):
+        name = self.pick(number)
+        if name in self.replicas.running:
+            consensus.tick(self.replicas.running[name], self.replicas.now)
+            self.replicas.carry_out(name, crash=after_sync)
+            self.replicas.crash(name)
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4))
+    def restart(self, number):
+        name = self.pick(number)
+        if name not in self.replicas.running:
+            self.replicas.restart(name)
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4))
+    def lose_disk(self, number):
+        """A disk is lost while all others hold theirs: the next one after the repair."""
+        name = self.pick(number)
+        others = [other for other in self.replicas.names if other != name]
+        if all(map(self.replicas.is_whole, others)):
+            self.replicas.lose_disk(name)
+            self.replicas.restart(name)
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4), size=st.integers(1, 2))
+    def cut(self, number, size):
+        names = self.replicas.names
+        start = number % len(names)
+        group = (names + names)[start : start + size]
+        self.replicas.network.cut(group, [name for name in names if name not in group])
+
+    @precondition(is_started)
+    @rule()
+    def heal(self):
+        self.replicas.network.heal()
+
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4))
+    def freeze_or_thaw(self, number):
+        name = self.pick(number)
+        if name in self.replicas.running:
+            self.replicas.frozen ^= {name}
+
+    def pick(self, number):
+        return self.replicas.names[number % len(self.replicas.names)]
