--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -49,7 +49,6 @@
     leaving: bool = False
 
     def __attrs_post_init__(self):
-        self.started_at = self.now
         self.timers = Timers()
         self.upstreams = Upstreams()
         self.subscriptions = Subscriptions(self.address, self.data_centre, False, self.process)
--- a/lycheevalve/flows/cookies.py
+++ b/lycheevalve/flows/cookies.py
@@ -34,7 +34,7 @@
     ambiguous: set[int] = attrs.field(factory=set)
 
     def add(self, upstream):
-        """Give an incarnation of an upstream its cookie, or 0 when another one has it."""
+        """Give an incarnation of an upstream its cookie; both get 0 when another has it too."""
         cookie = build_cookie(upstream.registration)
         holder = self.by_cookie.setdefault(cookie, upstream)
         if holder is not upstream and not is_same(holder, upstream):
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -22,7 +22,6 @@
     note_repeat,
 )
 from lycheevalve.flows.limits import weigh_failures
-from lycheevalve.flows.upstreams import UpstreamState
 
 # A packet that can't be placed yet waits this long at most: a copy follows soon.
 HOLD_SECONDS = 0.6
@@ -312,10 +311,3 @@
         """Forget upstreams that are gone."""
         self.upstreams.forget_gone(now)
         self.cookies.forget(lambda u: u.index in self.upstreams.by_index)
-
-    def count_usable(self, now):
-        """Return how many upstreams may get new flows, by service."""
-        return {
-            service: sum(u.state(now) is UpstreamState.UP for u in upstreams)
-            for service, upstreams in self.upstreams.by_service.items()
-        }
--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -18,7 +18,8 @@
 MAX_PORT = 65_535
 # The kinds of routes whose requests callers may repeat.
 IDEMPOTENT = ("safe", "download")
-# Level 1 takes a third of the processor time of the default, for a tenth more bytes.
+# Level 1 takes a third of the processor time of the default, for an eighth more bytes
+# (350 routes: 0.11 and 0.33 ms, 2,926 and 2,582 bytes).
 COMPRESSION_LEVEL = 1
 
 
