Leave the rotation when a cut leaves a data centre too few upstreams

Ruled out: detection of silent upstreams (windows stayed bad until the cut healed). Change: an instance that has heard no control replica of another data centre for 1 s, and had no answer of an upstream there for 0.6 s, is not ready while its own data centre has less than three quarters of its share of a service's slots. It still forwards what it gets. Polls are answered with the replica's data centre.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -73,7 +73,9 @@
             started_at=self.now,
             ready=True,
         )
-        self.feed = Feed(self.process, self.upstreams, self.spreading, self.now)
+        self.feed = Feed(
+            self.process, self.upstreams, self.spreading, self.now, self.data_centre
+        )
         self.timers.subscribe(TICK_SECONDS, self.answer_waiting, self.now)
         self.timers.subscribe(HOUSEKEEPING_SECONDS, self.keep_house, self.now)
 
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -48,6 +48,7 @@
     upstreams: object
     spreading: object
     started_at: float
+    data_centre: str = ""
     version: int = 0
     # The version at which something last could not wait for the next answer.
     urgent: int = 0
@@ -132,6 +133,7 @@
             registrations=self.upstreams.live_leases(now, addresses),
             controls=controls,
             settled=self.is_settled(now),
+            data_centre=self.data_centre,
         )
 
 
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -7,10 +7,14 @@
 
 import attrs
 
+from lycheevalve.coordination.feeds import POLL_SECONDS
 from lycheevalve.schema.generated.messages import Poll
 
 # A source that answered within this time is in contact: two polls and a reconnection.
 CONTACT_SECONDS = 2.0
+# A poll is answered within POLL_SECONDS; after twice that time the source or the way
+# to it is gone.
+SILENT_SECONDS = 2 * POLL_SECONDS
 # A source that nobody names and that has been silent for this long is given up.
 FORGET_SECONDS = 30.0
 # The most sources that one process polls; more would not make news arrive sooner.
@@ -24,6 +28,7 @@
     feed: int = 0
     version: int = 0
     told: int = 0
+    data_centre: str = ""
     heard_at: float = float("-inf")
     # Since when it may have been named or polled in vain.
     named_at: float = float("-inf")
@@ -88,12 +93,20 @@
         source.polled = False
         source.heard_at = source.named_at = now
         source.current, source.settled = news.current, news.settled
+        source.data_centre = news.data_centre
         self.name_sources(news.controls, now)
 
     def in_contact(self, now):
         """Return the addresses of the sources that answered lately."""
         return [a for a, s in self.sources.items() if now - s.heard_at < CONTACT_SECONDS]
 
+    def has_lost_others(self, now):
+        """Return whether the sources of all other data centres have gone silent."""
+        others = [
+            s for s in self.sources.values() if s.data_centre not in ("", self.data_centre)
+        ]
+        return bool(others) and all(now - s.heard_at > SILENT_SECONDS for s in others)
+
     def is_settled(self, now):
         """Return whether a source in contact knows the upstreams."""
         return any(self.sources[address].settled for address in self.in_contact(now))
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -12,6 +12,7 @@
 from lycheevalve.coordination.spreading import Spreading
 from lycheevalve.coordination.subscriptions import Subscriptions
 from lycheevalve.coordination.timers import Timers
+from lycheevalve.flows.isolation import has_own_share, reaches_others
 from lycheevalve.flows.steering import Steering
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.schema.generated import messages
@@ -100,7 +101,16 @@
         """Return whether the fabric may send packets here."""
         if self.leaving or self.steering.doors is None:
             return False
-        return self.is_informed(now)
+        return self.is_informed(now) and not self.is_stranded(now)
+
+    def is_stranded(self, now):
+        """Return whether a cut leaves too little of the upstreams for the callers here."""
+        if not self.subscriptions.has_lost_others(now):
+            return False
+        if reaches_others(self.upstreams, self.data_centre, now):
+            return False
+        services = self.steering.services()
+        return not has_own_share(self.upstreams, self.data_centre, services, now)
 
     # Messages.
 
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -403,6 +403,7 @@
   7: list<string> controls
   // The sender has known the upstreams for longer than they are silent.
   8: bool settled
+  9: string data_centre
 }
 
 struct ReadRequest {
--- a/lycheevalve/tests/fakes/controls.py
+++ b/lycheevalve/tests/fakes/controls.py
@@ -22,9 +22,14 @@
 
 
 class Controls:
-    """A few processes; `cuts` holds pairs between which nothing passes."""
+    """
+    A few processes; `cuts` holds pairs between which nothing passes.
 
-    def __init__(self, controls=2, entries=2, seed=1):
+    `places` gives the data centres of the control replicas, if they differ.
+    """
+
+    def __init__(self, controls=2, entries=2, seed=1, places=()):
+        self.places = places
         self.random = random.Random(seed)
         self.now = 100.0
         self.processes = 0
@@ -45,7 +50,8 @@
     def start_control(self, address):
         """Start a control replica with an empty table."""
         self.processes += 1
-        control = Control(address, "dc1", self.processes, self.random, self.now)
+        place = dict(zip(self.seeds, self.places, strict=False)).get(address, "dc1")
+        control = Control(address, place, self.processes, self.random, self.now)
         control.subscriptions.use_seeds(self.seeds, self.now)
         control.current = True
         self.begin(address, control)
--- /dev/null
+++ b/lycheevalve/tests/test_isolation.py
@@ -0,0 +1,152 @@
+"""Data centres that are cut off: when their callers are better off elsewhere."""
+
+import pytest
+
+from lycheevalve.coordination.feeds import SETTLE_SECONDS
+from lycheevalve.coordination.subscriptions import SILENT_SECONDS
+from lycheevalve.flows.evidence import SILENT_REPEATS
+from lycheevalve.flows.isolation import (
+    HIDDEN_SECONDS,
+    REACH_SECONDS,
+    has_own_share,
+    reaches_others,
+)
+from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.tests.fakes.controls import Controls
+from lycheevalve.tests.fakes.edge import LIFETIME_MS, build_registration
+
+SERVICE = "nightsync"
+
+
+def build_upstreams(own, others, now=0.0):
+    """Return upstreams: so many in dc1, and one in each of the other data centres."""
+    upstreams = Upstreams()
+    places = ["dc1"] * own + [f"dc{number + 2}" for number in range(others)]
+    for number, place in enumerate(places, start=1):
+        upstreams.update(build_registration(number, SERVICE, data_centre=place), now)
+    return upstreams
+
+
+def is_enough(upstreams, now=1.0):
+    """Return whether dc1 can carry its callers alone."""
+    return has_own_share(upstreams, "dc1", {SERVICE}, now)
+
+
+class TestOwnShare:
+    """What the upstreams of one data centre can carry."""
+
+    @pytest.mark.parametrize(
+        ("own", "others", "enough"), [(1, 3, True), (2, 1, True), (0, 3, False)]
+    )
+    def test_is_counted_in_slots(self, own, others, enough):
+        assert is_enough(build_upstreams(own, others)) is enough
+
+    def test_one_of_seven_in_four_data_centres_is_too_little(self):
+        upstreams = build_upstreams(1, 3)
+        for number, place in ((11, "dc2"), (12, "dc3"), (13, "dc4")):
+            upstreams.update(build_registration(number, SERVICE, data_centre=place), 0.0)
+        assert not is_enough(upstreams)
+
+    def test_silent_upstreams_do_not_count(self):
+        upstreams = build_upstreams(1, 3)
+        own = next(iter(upstreams.by_index.values()))
+        own.unanswered = SILENT_REPEATS
+        assert not is_enough(upstreams)
+
+    def test_upstreams_hidden_by_the_cut_count_for_a_while(self):
+        """Else the share would look larger the longer a cut lasts."""
+        upstreams = build_upstreams(1, 0)
+        for number in range(11, 15):
+            upstreams.update(build_registration(number, SERVICE, data_centre="dc2"), 0.0)
+        late = LIFETIME_MS / 1000 + 1.0
+        upstreams.update(build_registration(1, SERVICE, sequence=2), late)
+        assert not is_enough(upstreams, late)
+        later = late + HIDDEN_SECONDS
+        upstreams.update(build_registration(1, SERVICE, sequence=3), later)
+        assert is_enough(upstreams, later)
+
+    def test_upstreams_that_left_do_not_count(self):
+        upstreams = build_upstreams(1, 0)
+        for number in range(11, 15):
+            values = {"data_centre": "dc2", "draining": True}
+            upstreams.update(build_registration(number, SERVICE, **values), 0.0)
+        assert is_enough(upstreams)
+
+
+class TestReach:
+    """Whether another data centre answers."""
+
+    def test_answers_count_for_a_while(self):
+        upstreams = build_upstreams(1, 1)
+        for upstream in upstreams.by_index.values():
+            upstream.answered_at = 5.0
+        assert reaches_others(upstreams, "dc1", 5.0 + REACH_SECONDS / 2)
+        assert not reaches_others(upstreams, "dc1", 5.0 + REACH_SECONDS * 2)
+
+    def test_answers_of_the_own_data_centre_do_not_count(self):
+        upstreams = build_upstreams(2, 0)
+        for upstream in upstreams.by_index.values():
+            upstream.answered_at = 5.0
+        assert not reaches_others(upstreams, "dc1", 5.0)
+
+
+def build_site(own, others):
+    """Return a site of two data centres that serves, with its first entry instance."""
+    site = Controls(controls=2, entries=1, places=("dc1", "dc2"))
+    site.commit(3, doors=(0,))
+    for number in range(own):
+        beat(site, site.seeds[0], number + 1, "dc1", 1)
+    for number in range(others):
+        beat(site, site.seeds[1], number + 101, "dc2", 1)
+    site.run(SETTLE_SECONDS + 1.0)
+    entry = site.running[site.entries[0]]
+    assert entry.is_ready(site.now)
+    return site, entry
+
+
+def beat(site, control, number, data_centre, sequence):
+    """Announce an upstream."""
+    registration = build_registration(
+        number, SERVICE, data_centre=data_centre, sequence=sequence, lifetime_ms=60_000
+    )
+    site.running[control].confirm(registration, "beat", site.now)
+
+
+def cut(site):
+    """Cut the second data centre off; return when an instance must have noticed."""
+    near = [site.seeds[0], *site.entries]
+    site.cuts = {frozenset((name, site.seeds[1])) for name in near}
+    site.run(SILENT_SECONDS + 0.5)
+
+
+class TestReadinessInACut:
+    """An instance that can't serve its callers well lets the fabric turn elsewhere."""
+
+    def test_too_few_upstreams(self):
+        site, entry = build_site(1, 3)
+        cut(site)
+        assert not entry.is_ready(site.now)
+        site.cuts.clear()
+        site.run(2.0)
+        assert entry.is_ready(site.now)
+
+    def test_enough_upstreams(self):
+        site, entry = build_site(2, 2)
+        cut(site)
+        assert entry.is_ready(site.now)
+
+    def test_replicas_alone_are_no_cut(self):
+        """The replicas of the other data centre have died; its upstreams answer."""
+        site, entry = build_site(1, 3)
+        site.stop(site.seeds[1])
+        for _ in range(20):
+            for upstream in entry.upstreams.by_index.values():
+                upstream.answered_at = site.now
+            site.run(0.1)
+            assert entry.is_ready(site.now)
+
+    def test_own_replicas_alone_are_no_cut(self):
+        site, entry = build_site(1, 3)
+        site.stop(site.seeds[0])
+        site.run(SILENT_SECONDS + 0.5)
+        assert entry.is_ready(site.now)
