One schema of events behind a bounded queue; load loguru and h11 after the start

Ruled out: leaner attrs classes (a define without eq and repr takes 231 us, with written constructors 224 us). Change: logs/schema.py lists all events with typed fields and budgets; parts record into a queue (budget by kind and second, failures before successes, what is left out is counted), a task writes it through loguru without ever blocking on standard output. loguru is imported in a thread a second after the start, h11 with the first connection. Steering tells why it holds, drops and resets, with the request's id and what was known of the upstream; evidence tells how long answers take. Tests: budget, bounds, a reader that stops or goes, every recorded event against the schema.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -23,7 +23,7 @@
 CONFIRM_SECONDS = 0.4
 
 
-def ignore(*_):
+def ignore(*_, **__):
     """Take an observation nobody wants."""
 
 
@@ -68,7 +68,9 @@
             send=self.send,
             neighbours=list,
             others=list,
-            apply=lambda configuration, now: self.observe("in_force", configuration.revision),
+            apply=lambda configuration, now: self.observe(
+                "in_force", revision=configuration.revision
+            ),
             random=self.random,
             started_at=self.now,
             ready=True,
@@ -92,15 +94,15 @@
 
     # Upstreams.
 
-    def announce(self, registration, now):
-        """Take an upstream's announcement; return whether it is news."""
+    def announce(self, registration, now, source=""):
+        """Take an upstream's announcement, or a replica's word; return whether it is news."""
         known = self.upstreams.by_address.get(parse_address(registration.address))
         was = known.registration if known is not None else None
         if not self.upstreams.update(registration, now):
             return False
         self.feed.note(registration, was, now)
         if not is_renewal(registration, was):
-            self.observe("learned", registration)
+            self.observe("upstream", registration=registration, source=source)
         return True
 
     def confirm(self, registration, reply, now):
@@ -188,7 +190,7 @@
         if isinstance(message, messages.News):
             self.subscriptions.take(sender, message, now)
             for registration in message.registrations:
-                self.announce(registration, now)
+                self.announce(registration, now, sender)
             self.feed.settled = self.feed.settled or message.settled
         self.answer_waiting(now)
         self.send(sender, self.subscriptions.build_poll(sender, self.spreading))
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -4,7 +4,6 @@
 
 import attrs
 import trio
-from loguru import logger
 
 from lycheevalve.config.roles import link_addresses
 from lycheevalve.control import Control
@@ -30,6 +29,7 @@
 from lycheevalve.daemon.replication import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.roles import INBOX_EVENTS, RoleProcess
 from lycheevalve.exceptions import StorageError, UnavailableError
+from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import (
     ChangeResult,
     Fetch,
@@ -44,7 +44,6 @@
 LEADER_RETRY_SECONDS = 0.1
 # A leaving leader waits for its successor, and its servers for their last answers.
 LEAVE_SECONDS = 0.4
-logger = logger.bind(part="control")
 
 
 @attrs.frozen
@@ -131,12 +130,12 @@
         try:
             registrations = await trio.to_thread.run_sync(read_sightings, folder)
         except StorageError as error:
-            logger.warning("sightings not read", reason=str(error))
+            record("upstreams_unreadable", reason=str(error))
             return
         now = trio.current_time()
         for registration in registrations:
             self.decisions.announce(registration, now)
-        logger.info("sightings read", upstreams=len(registrations))
+        record("upstreams_recalled", upstreams=len(registrations))
 
     async def store_upstreams(self):
         """Store the upstreams whenever one came, drains or left."""
@@ -151,7 +150,7 @@
                 await trio.to_thread.run_sync(write_sightings, folder, leases)
                 stored = version
             except StorageError as error:
-                logger.warning("sightings not stored", reason=str(error))
+                record("upstreams_unwritten", reason=str(error))
 
     # Links of other processes.
 
@@ -202,7 +201,7 @@
         try:
             return await ask_once(leader, self.make_codec(), message, ANSWER_SECONDS)
         except UnavailableError as error:
-            logger.info("leader not reached", peer=leader, reason=str(error))
+            record("leader_unreached", peer=leader, reason=str(error))
             return None
 
     async def announce(self, registration):
@@ -240,7 +239,8 @@
     async def handle_view(self, view):
         """Note what the replica is."""
         if (view.role, view.leader) != (self.view.role, self.view.leader):
-            logger.info("replica", role=view.role, leader=view.leader, members=view.members)
+            members = list(view.members)
+            record("replica", role=view.role, leader=view.leader, members=members)
         self.view = view
         self.decisions.current = view.current
         self.decisions.members = view.members
@@ -257,11 +257,7 @@
                 self.replica_inbox.send_nowait(Learners(learners))
                 self.learners = learners
             except trio.WouldBlock:
-                logger.debug("the replica is busy")
-
-    def observe(self, name, *details):
-        """Log what operators should see."""
-        logger.info(name, details=[repr(detail) for detail in details])
+                record("queue_full", peer="replica")
 
     def handle_thaw(self):
         """Let the replica trust nothing that it heard before."""
@@ -269,13 +265,14 @@
         try:
             self.replica_inbox.send_nowait(Thawed())
         except trio.WouldBlock:
-            logger.warning("the replica is busy and does not hear of the freeze")
+            record("queue_full", peer="replica")
+        return 0
 
     async def handle_stop(self, event):
         """Hand the leadership on, then end."""
         if not self.left_at:
             self.left_at = trio.current_time()
-            logger.info("leaving")
+            record("leaving")
             await self.replica_inbox.send(Stop())
 
     def is_over(self, now):
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -1,7 +1,8 @@
 """The tasks of an entry instance: packets, readiness, subscriptions."""
 
+import math
+
 import trio
-from loguru import logger
 
 from lycheevalve.daemon.events import Batch
 from lycheevalve.daemon.http import Response, Server
@@ -9,6 +10,8 @@
 from lycheevalve.daemon.traffic import Traffic
 from lycheevalve.entry import Entry
 from lycheevalve.exceptions import DatagramError
+from lycheevalve.logs.queue import record
+from lycheevalve.logs.schema import EVENTS
 from lycheevalve.utils.addresses import parse_address
 
 # A stopping instance forwards until the fabric has noticed and flows have moved:
@@ -16,9 +19,6 @@
 LEAVE_SECONDS = 2.5
 COUNTERS_SECONDS = 10.0
 READINESS_PATH = "/ready"
-# Events that are logged one by one; the others are only counted.
-LOGGED = ("learned", "in_force")
-logger = logger.bind(part="entry")
 
 
 class EntryProcess(RoleProcess):
@@ -26,8 +26,8 @@
     One entry instance.
 
     `codec` reads and builds packets: `read_packet(data)`, `build_forward(upstream,
-    cookie, packet)` and `build_reset(packet)`, which return (data, address), and
-    `read_doors(document)`.
+    cookie, packet)` and `build_reset(packet)`, which return (data, address),
+    `describe_flow(packet)` and `read_doors(document)`.
     """
 
     def __init__(self, settings, codec, early_socket=None):
@@ -35,6 +35,8 @@
         self.codec = codec
         self.early_socket = early_socket
         self.traffic = None
+        # Why the fabric was told to send packets elsewhere, when it last asked.
+        self.unready = None
         self.left_at = 0.0
         self.counted_at = trio.current_time()
         self.decisions = Entry(
@@ -61,8 +63,11 @@
         """Tell the fabric whether this instance may get packets."""
         if request.path != READINESS_PATH:
             return Response(404)
-        is_ready = self.decisions.is_ready(trio.current_time())
-        return Response(200 if is_ready else 503)
+        reason = self.decisions.why_unready(trio.current_time())
+        if reason != self.unready:
+            self.unready = reason
+            record("ready", ready=not reason, reason=reason)
+        return Response(503 if reason else 200)
 
     async def handle_batch(self, batch):
         """Take packets of callers."""
@@ -71,7 +76,7 @@
             try:
                 packet = self.codec.read_packet(data)
             except DatagramError as error:
-                self.decisions.count("bad_packets", str(error))
+                self.decisions.count("bad_packets", error=str(error))
                 continue
             self.decisions.steering.handle(packet, now)
 
@@ -86,13 +91,22 @@
     def handle_thaw(self):
         """Drop what waited in the socket: callers have sent it again or given up."""
         dropped = self.traffic.discard_backlog()
-        logger.warning("dropped what had waited", packets=dropped)
         self.decisions.thaw(trio.current_time())
+        return dropped
 
-    def observe(self, name, *details):
+    def observe(self, name, **details):
         """Log what operators should see; the rest is counted."""
-        if name in LOGGED:
-            logger.info(name, details=[repr(detail) for detail in details])
+        if name not in EVENTS:
+            return
+        packet, upstream = details.pop("packet", None), details.pop("upstream", None)
+        if packet is not None:
+            details["flow"] = self.codec.describe_flow(packet)
+            details.setdefault("request", packet.request)
+        if upstream is not None:
+            details |= describe_known(upstream, trio.current_time())
+        if "revision" in EVENTS[name].fields:
+            details.setdefault("revision", self.decisions.spreading.applied.revision)
+        super().observe(name, **details)
 
     def flush(self):
         """Send what is queued, and log the counters now and then."""
@@ -100,15 +114,29 @@
         now = trio.current_time()
         if now - self.counted_at >= COUNTERS_SECONDS:
             self.counted_at = now
-            logger.info("counters", **self.decisions.counters)
+            record("counters", counts=dict(self.decisions.counters))
 
     async def handle_stop(self, event):
         """Tell the fabric to send packets elsewhere."""
         if not self.left_at:
             self.left_at = trio.current_time()
             self.decisions.leaving = True
-            logger.info("leaving")
+            record("leaving")
 
     def is_over(self, now):
         """Return whether the fabric has turned elsewhere."""
         return bool(self.left_at) and now - self.left_at >= LEAVE_SECONDS
+
+
+def describe_known(upstream, now):
+    """Return what is known of an upstream, and how old that is; -1 is never."""
+    registration = upstream.registration
+    answered = math.isfinite(upstream.answered_at)
+    return {
+        "upstream": registration.name,
+        "address": registration.address,
+        "report_age_ms": round((now - upstream.reported_at) * 1000),
+        "answer_age_ms": round((now - upstream.answered_at) * 1000) if answered else -1,
+        "flows": upstream.flows,
+        "unanswered": upstream.unanswered,
+    }
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -10,9 +10,9 @@
 import struct
 
 import trio
-from loguru import logger
 
 from lycheevalve.exceptions import FrameError, LycheevalveError, UnavailableError
+from lycheevalve.logs.queue import record
 from lycheevalve.schema.frames import FrameCodec
 from lycheevalve.schema.generated.messages import Failure, Greeting
 from lycheevalve.utils.addresses import format_address, parse_address
@@ -32,7 +32,6 @@
     trio.ClosedResourceError,
     trio.TooSlowError,
 )
-logger = logger.bind(part="links")
 
 
 async def read_exactly(stream, count):
@@ -113,7 +112,7 @@
         try:
             self.queues[name].send_nowait(message)
         except trio.WouldBlock:
-            logger.debug("queue is full", peer=name)
+            record("queue_full", peer=name)
 
     async def run_link(self, name, receiver):
         """Keep a link to a peer while there is something to send."""
@@ -125,8 +124,8 @@
                 connection = await open_connection(address, self.make_codec())
                 await self.use_link(connection, message, receiver)
             except* LINK_ERRORS as group:
-                reasons = [str(error) for error in group.exceptions]
-                logger.debug("link failed", peer=name, reasons=reasons)
+                for error in group.exceptions:
+                    record("link_failed", peer=name, reason=str(error))
 
     async def use_link(self, connection, message, receiver):
         """Send what is queued until the link falls silent."""
@@ -181,9 +180,9 @@
         try:
             await serve_connection(stream, make_codec(), handle)
         except FrameError as error:
-            logger.warning("bad link closed", peer=peer, reason=str(error))
+            record("link_closed", peer=peer, reason=str(error))
         except LINK_ERRORS as error:
-            logger.debug("link closed", peer=peer, reason=str(error))
+            record("link_failed", peer=peer, reason=str(error))
 
     listeners = await trio.open_tcp_listeners(port, host=host)
     task_status.started()
--- a/lycheevalve/daemon/main.py
+++ b/lycheevalve/daemon/main.py
@@ -5,14 +5,13 @@
 
 import fire
 import trio
-from loguru import logger
 
 from lycheevalve.config.files import read_key
 from lycheevalve.config.process import changed_options, load_process_settings
 from lycheevalve.daemon.events import Reload, Stop
-from lycheevalve.daemon.logs import set_up_logs
 from lycheevalve.daemon.process import Process
 from lycheevalve.exceptions import LycheevalveError
+from lycheevalve.logs.queue import record, set_up_logs, writer
 
 EXIT_WRONG_INPUT = 2
 
@@ -34,7 +33,7 @@
         settings, warnings = load_process_settings(path)
     except* LycheevalveError as group:
         for error in group.exceptions:
-            logger.error("settings not reloaded", reason=str(error))
+            record("not_reloaded", reason=str(error))
     else:
         await use_settings(process, settings, warnings)
 
@@ -43,11 +42,11 @@
     """Take over what can be reloaded, and name what can't."""
     reloadable, fixed = changed_options(process.settings, settings)
     for name in fixed:
-        logger.warning("needs a restart, not reloaded", option=name)
+        record("restart_needed", option=name)
         setattr(settings, name, getattr(process.settings, name))
     set_up_logs(settings.log_level, instance=settings.name, site=settings.site)
     await process.inbox.send(Reload(settings))
-    logger.info("reloaded", changed=reloadable, warnings=warnings)
+    record("reloaded", changed=reloadable, warnings=warnings)
 
 
 async def run_process(settings, key, path):
@@ -55,6 +54,7 @@
     process = Process(settings, key)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_signals, process, path)
+        nursery.start_soon(writer.run)
         await process.run()
         nursery.cancel_scope.cancel()
 
@@ -76,8 +76,11 @@
         sys.exit(EXIT_WRONG_INPUT)
     set_up_logs(loaded.log_level, instance=loaded.name, site=loaded.site)
     for warning in warnings:
-        logger.warning(warning)
-    trio.run(run_process, loaded, key, path)
+        record("setting_warning", reason=warning)
+    try:
+        trio.run(run_process, loaded, key, path)
+    finally:
+        writer.close()
 
 
 def main():
--- a/lycheevalve/daemon/process.py
+++ b/lycheevalve/daemon/process.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 
 import trio
-from loguru import logger
 
 from lycheevalve.coordination.membership import FROZEN_SECONDS
 from lycheevalve.daemon import events
@@ -21,6 +20,7 @@
 from lycheevalve.daemon.traffic import Traffic
 from lycheevalve.exceptions import FrameError, UnavailableError
 from lycheevalve.instance import Instance
+from lycheevalve.logs.queue import record
 from lycheevalve.schema import frames
 from lycheevalve.schema.generated import messages
 from lycheevalve.utils.addresses import parse_address
@@ -33,7 +33,6 @@
 LINK_MESSAGES = (*REPLICA_MESSAGES, messages.Fetch, messages.Fetched, messages.Sync)
 # Events that are logged; the others are only counted.
 LOGGED = ("in_force", "refused_announcements", "bad_datagrams", "bad_frames", "thawed")
-logger = logger.bind(part="process")
 
 
 class Process:
@@ -70,12 +69,12 @@
             if self.settings.name in self.settings.replicas:
                 self.start_replica(nursery)
             nursery.start_soon(self.traffic.run, self.inbox)
-            logger.info("started", address=self.settings.address)
+            record("started", role="instance", address=self.settings.address)
             task_status.started(self)
             await self.run_instance()
             nursery.cancel_scope.cancel()
         self.traffic.close()
-        logger.info("stopped")
+        record("stopped")
 
     def address_of(self, name):
         """Return the address of an instance."""
@@ -115,7 +114,7 @@
             return False
         late = now - started >= self.settings.stop_seconds
         if late:
-            logger.warning("stopping before the handover is complete")
+            record("stopping_early")
         return late or self.instance.has_left(now)
 
     async def handle(self, event):
@@ -128,7 +127,8 @@
         if now - self.instance.seen_at > FROZEN_SECONDS and self.instance.seen_at:
             dropped = len(batch.datagrams) + self.traffic.discard_backlog()
             self.instance.observe_time(now)
-            logger.warning("frozen; dropped what had waited", datagrams=dropped)
+            gap = now - self.instance.seen_at
+            record("thawed", gap_ms=round(gap * 1000), dropped=dropped)
             return
         self.instance.observe_time(now)
         for datagram, source in batch.datagrams:
@@ -172,7 +172,7 @@
     async def handle_stop(self, _):
         """Start the graceful stop."""
         if not self.instance.left_at:
-            logger.info("leaving")
+            record("leaving")
             self.instance.leave(trio.current_time())
 
     async def handle_reload(self, event):
@@ -206,7 +206,7 @@
         """Log what operators should see; bad input only at powers of two."""
         count = self.instance.counters.get(name, 0) if self.instance else 0
         if name in LOGGED and count & (count - 1) == 0:
-            logger.info(name, count=count, details=details)
+            record("counted", counter=name, count=count, details=[repr(d) for d in details])
 
     def flush_metrics(self):
         """Send counters and gauges to statsd."""
--- a/lycheevalve/daemon/pumps.py
+++ b/lycheevalve/daemon/pumps.py
@@ -10,12 +10,12 @@
 
 import attrs
 import trio
-from loguru import logger
 
 from lycheevalve.coordination.feeds import POLL_SECONDS
 from lycheevalve.daemon.events import Received
 from lycheevalve.daemon.links import LINK_ERRORS, open_connection
 from lycheevalve.exceptions import UnavailableError
+from lycheevalve.logs.queue import record
 
 # An answer later than this after its poll was due means that the path is broken.
 ANSWER_SECONDS = POLL_SECONDS + 0.7
@@ -26,7 +26,6 @@
 RETRY_MIN_SECONDS = 0.05
 RETRY_MAX_SECONDS = 0.8
 QUEUE_MESSAGES = 8
-logger = logger.bind(part="pumps")
 
 
 @attrs.frozen
@@ -72,7 +71,7 @@
         try:
             queue.send_nowait(message)
         except trio.WouldBlock:
-            logger.warning("queue is full", peer=address)
+            record("queue_full", peer=address)
 
     async def run(self, address, scope):
         """Keep a connection open until the scope is cancelled."""
--- a/lycheevalve/daemon/replication.py
+++ b/lycheevalve/daemon/replication.py
@@ -3,7 +3,6 @@
 import random
 
 import trio
-from loguru import logger
 
 from lycheevalve.config.site import check_change
 from lycheevalve.coordination import consensus
@@ -21,6 +20,7 @@
     Thawed,
 )
 from lycheevalve.exceptions import StorageError
+from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import (
     Change,
     ChangeMembers,
@@ -32,7 +32,6 @@
 TICK_SECONDS = 0.1
 # A replica whose disk failed reads it again after this time.
 DISK_RETRY_SECONDS = 0.5
-logger = logger.bind(part="replica")
 
 
 class ReplicaTask:
@@ -90,7 +89,7 @@
     def start(self, stored):
         """Make the replica from what the disk held."""
         if stored.damage:
-            logger.error("damaged files set aside", reason=stored.damage)
+            record("files_damaged", reason=stored.damage)
         self.replica = consensus.start_replica(
             self.settings.name,
             self.settings.replicas,
@@ -101,10 +100,11 @@
             self.founding,
         )
         self.replica.learners = self.learners
-        logger.info(
-            "replica started",
+        record(
+            "replica",
             role=self.replica.role.value,
-            members=self.replica.members,
+            leader="",
+            members=list(self.replica.members),
             index=self.replica.log.last_index(),
         )
 
@@ -118,7 +118,7 @@
         consensus.tick(self.replica, now)
         members = replace_lost(self.replica, self.wanted, now) if self.wanted else None
         if members is not None:
-            logger.warning("replacing a silent replica", members=members)
+            record("replica_replaced", members=list(members))
 
     async def handle(self, event):
         """Take a message of another replica or a request of an operator."""
@@ -210,7 +210,8 @@
 
     async def wait_for_disk(self, error, inbox):
         """Promise nothing for a while: what could not be written is not held."""
-        logger.error("replica stopped", reason=str(error), retry_seconds=DISK_RETRY_SECONDS)
+        retry_ms = round(DISK_RETRY_SECONDS * 1000)
+        record("replica_stopped", reason=str(error), retry_ms=retry_ms)
         self.waiting.clear()
         self.view = ReplicaView(role=Role.STOPPED.value)
         await self.tell.send(self.view)
--- a/lycheevalve/daemon/roles.py
+++ b/lycheevalve/daemon/roles.py
@@ -4,17 +4,16 @@
 import time
 
 import trio
-from loguru import logger
 
 from lycheevalve.config.roles import link_address, link_addresses
 from lycheevalve.daemon.events import Received, Reload, Stop
 from lycheevalve.daemon.links import make_codec_factory, serve_links
 from lycheevalve.daemon.pumps import Closed, Opened, Pumps
+from lycheevalve.logs.queue import record
 
 INBOX_EVENTS = 64
 # A longer gap between two turns of a process means that it was frozen.
 FROZEN_SECONDS = 1.0
-logger = logger.bind(part="process")
 
 
 class RoleProcess:
@@ -52,10 +51,10 @@
             now = trio.current_time()
             self.decisions.subscriptions.use_seeds(link_addresses(self.settings), now)
             await self.start(nursery)
-            logger.info("started", role=self.settings.role, address=self.address)
+            record("started", role=self.settings.role, address=self.address)
             await self.run_events()
             nursery.cancel_scope.cancel()
-        logger.info("stopped")
+        record("stopped")
 
     async def start(self, nursery):
         """Start the tasks of the role."""
@@ -88,11 +87,22 @@
         at = time.clock_gettime(time.CLOCK_BOOTTIME)
         gap, self.turn_at = at - self.turn_at, at
         if gap > FROZEN_SECONDS and gap < at:
-            logger.warning("thawed", gap_seconds=round(gap, 3))
-            self.handle_thaw()
+            record("thawed", gap_ms=round(gap * 1000), dropped=self.handle_thaw())
+
+    def observe(self, name, **details):
+        """Log what operators should see."""
+        registration = details.pop("registration", None)
+        if registration is not None:
+            details |= describe_registration(registration)
+        record(name, **details)
 
     def handle_thaw(self):
-        """Trust nothing that was known before the process was frozen."""
+        """
+        Trust nothing that was known before the process was frozen.
+
+        Return how many packets that had waited were dropped.
+        """
+        return 0
 
     def flush(self):
         """Send what the decisions have queued."""
@@ -109,12 +119,12 @@
 
     async def handle_opened(self, event):
         """Poll a control replica that can be reached."""
-        logger.info("source reached", peer=event.address)
+        record("source_reached", peer=event.address)
         self.decisions.open_source(event.address, trio.current_time())
 
     async def handle_closed(self, event):
         """Note that a control replica can't be reached."""
-        logger.info("source lost", peer=event.address, reason=event.reason)
+        record("source_lost", peer=event.address, reason=event.reason)
 
     async def handle_reload(self, event):
         """Take new settings."""
@@ -125,3 +135,15 @@
     async def handle_stop(self, event):
         """Start the graceful stop."""
         raise NotImplementedError
+
+
+def describe_registration(registration):
+    """Return the fields of an event about an upstream."""
+    states = ((registration.leaving, "gone"), (registration.draining, "draining"))
+    return {
+        "upstream": registration.name,
+        "address": registration.address,
+        "service": registration.service_name,
+        "data_centre": registration.data_centre,
+        "state": next((state for holds, state in states if holds), "up"),
+    }
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -23,7 +23,7 @@
 HOUSEKEEPING_SECONDS = 1.0
 
 
-def ignore(*_):
+def ignore(*_, **__):
     """Take an observation nobody wants."""
 
 
@@ -99,9 +99,17 @@
 
     def is_ready(self, now):
         """Return whether the fabric may send packets here."""
-        if self.leaving or self.steering.doors is None:
-            return False
-        return self.is_informed(now) and not self.is_stranded(now)
+        return not self.why_unready(now)
+
+    def why_unready(self, now):
+        """Return why the fabric should send packets elsewhere, or an empty text."""
+        if self.leaving:
+            return "leaving"
+        if self.steering.doors is None:
+            return "no settings"
+        if not self.is_informed(now):
+            return "upstreams not known yet"
+        return "cut off with too few upstreams" if self.is_stranded(now) else ""
 
     def is_stranded(self, now):
         """Return whether a cut leaves too little of the upstreams for the callers here."""
@@ -164,14 +172,15 @@
         known = self.upstreams.by_address.get(parse_address(registration.address))
         was = known.registration if known is not None else None
         if self.steering.learn(registration, now) and not is_renewal(registration, was):
-            self.observe("learned", registration, sender)
+            self.observe("upstream", registration=registration, source=sender)
 
     def put_in_force(self, configuration, now):
         """Apply a configuration."""
         self.steering.put_in_force(self.read_doors(configuration.document), now)
-        self.observe("in_force", configuration.revision)
+        self.observe("in_force", revision=configuration.revision)
 
-    def count(self, name, *details):
-        """Count an event and pass it on."""
-        self.counters[name] = self.counters.get(name, 0) + 1
-        self.observe(name, *details)
+    def count(self, name, **details):
+        """Count an event, by its reason if it has one, and pass it on."""
+        key = f"{name}_{details['reason']}" if "reason" in details else name
+        self.counters[key] = self.counters.get(key, 0) + 1
+        self.observe(name, **details)
--- a/lycheevalve/flows/evidence.py
+++ b/lycheevalve/flows/evidence.py
@@ -26,6 +26,11 @@
 SEQUENCE_MODULUS = 1 << 32
 
 
+# What a packet shows of its upstream.
+ANSWERED = "answered"
+REPEATED = "repeated"
+
+
 @attrs.define(eq=False)
 class Flow:
     """What this instance remembers of a flow; losing it breaks nothing."""
@@ -42,6 +47,9 @@
     idle: bool = False
     # Its caller's last packet without data, from which a reset can be built.
     packet: object = None
+    # The newest request that showed in its bytes, and how long its answer took.
+    request: str = ""
+    answer_seconds: float = 0.0
 
 
 def is_after(one, other):
@@ -50,21 +58,27 @@
 
 
 def note_packet(flow, packet, now):
-    """Learn from a packet of an open flow."""
+    """Learn from a packet of an open flow; return ANSWERED, REPEATED or None."""
+    shown = None
     if flow.opening or is_progress(flow, packet):
         note_answer(flow.upstream, now)
+        if flow.sent is not None and not flow.idle:
+            flow.answer_seconds, shown = now - flow.sent_at, ANSWERED
         flow.idle = True
     flow.opening = False
     flow.acknowledged = packet.acknowledged
     if not packet.size:
         flow.packet = packet
-        return
+        return shown
     flow.idle = False
     end = (packet.sequence + packet.size) % SEQUENCE_MODULUS
     if flow.sent is None or is_after(end, flow.sent):
         flow.sent, flow.sent_at = end, now
+        flow.request = packet.request or flow.request
     elif now - flow.sent_at >= REPEAT_SECONDS:
         note_repeat(flow.upstream, now)
+        shown = REPEATED
+    return shown
 
 
 def is_progress(flow, packet):
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -13,7 +13,9 @@
 
 from lycheevalve.flows.cookies import Cookies
 from lycheevalve.flows.evidence import (
+    ANSWERED,
     REPEAT_SECONDS,
+    REPEATED,
     Flow,
     avoid_silent,
     is_answering,
@@ -57,6 +59,8 @@
     acknowledged: int
     size: int
     raw: bytes
+    # The id of the request that begins in it, if one shows in its bytes.
+    request: str = ""
 
 
 @attrs.frozen
@@ -81,7 +85,8 @@
     The placement of flows at one instance.
 
     `forward(upstream, cookie, packet)` sends a packet on, `reset(packet)` ends
-    a flow for its caller, `observe(name, *details)` counts.
+    a flow for its caller, `observe(name, **details)` counts; its details are named
+    as the fields of logs/schema.py, but for packet, upstream, flow and seconds.
     """
 
     upstreams: object
@@ -137,9 +142,11 @@
             return not self.paused and self.open(packet, door, now)
         return self.follow(packet, door, now)
 
-    def refuse(self, packet, reason):
+    def refuse(self, packet, reason, upstream=None):
         """End a flow for its caller."""
-        self.observe(reason, packet)
+        flow = self.flows.get(packet.flow)
+        request = packet.request or (flow.request if flow else "")
+        self.observe("reset", reason=reason, packet=packet, upstream=upstream, request=request)
         self.forget(packet.flow)
         self.reset(packet)
 
@@ -152,18 +159,28 @@
             return False
         if upstream.replaced:
             # Its address may be another service's by now.
-            self.refuse(packet, "upstream_gone")
+            self.refuse(packet, "upstream_gone", upstream)
             return True
         flow = self.remember(packet, upstream, now)
-        note_packet(flow, packet, now)
+        self.tell(note_packet(flow, packet, now), flow, packet)
         if packet.ends:
             self.forget(packet.flow)
         elif self.should_move(packet, door, upstream, now):
-            self.refuse(packet, "upstream_silent")
+            self.refuse(packet, "upstream_silent", upstream)
             return True
         self.forward(upstream, packet.cookie, packet)
         return True
 
+    def tell(self, shown, flow, packet):
+        """Tell what a packet of an open flow shows."""
+        upstream = flow.upstream
+        if packet.request and shown != REPEATED:
+            self.observe("request", packet=packet, upstream=upstream)
+        if shown == ANSWERED:
+            self.observe("answered", upstream=upstream, seconds=flow.answer_seconds)
+        elif shown == REPEATED:
+            self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
+
     def should_move(self, packet, door, upstream, now):
         """Return whether a caller is better off with another flow than with a silent one."""
         if not (packet.size and door.idempotent and is_silent(upstream, now)):
@@ -189,7 +206,7 @@
         for flow in [flow for flow in self.flows.values() if flow.upstream in left]:
             packet = flow.packet
             if packet is not None and (flow.idle or self.is_idempotent(packet)):
-                self.refuse(packet, "left_silent")
+                self.refuse(packet, "left_silent", flow.upstream)
 
     def is_idempotent(self, packet):
         """Return whether the caller of a packet may repeat its requests."""
@@ -232,7 +249,7 @@
         self.openings[packet.flow] = (now, (*tried, upstream))
         self.openings.move_to_end(packet.flow)
         self.remember(packet, upstream, now).opening = True
-        self.observe("placed", packet, upstream)
+        self.observe("placed", packet=packet, upstream=upstream, copy=packet.copy)
         self.forward(upstream, upstream.cookie, packet)
         return True
 
@@ -269,12 +286,25 @@
 
     def hold(self, packet, now):
         """Keep a packet until more is known, once for all its copies, or drop the oldest."""
-        self.observe("held", packet)
+        self.observe("held", packet=packet, reason=self.why_held(packet))
         key = (packet.flow, packet.opens, packet.sequence, packet.size)
         since, _ = self.held.pop(key, (now, None))
         self.held[key] = (since, packet)
         if len(self.held) > HOLD_PACKETS:
-            self.observe("dropped", self.held.popitem(last=False)[1][1])
+            self.drop(*self.held.popitem(last=False)[1], "no_room", now)
+
+    def why_held(self, packet):
+        """Return what a packet waits for."""
+        if self.doors is None:
+            return "no_settings"
+        if not packet.opens:
+            return "unknown_cookie"
+        return "unconfirmed" if self.paused else "uninformed"
+
+    def drop(self, since, packet, reason, now):
+        """Give a held packet up."""
+        waited_ms = round((now - since) * 1000)
+        self.observe("dropped", packet=packet, reason=reason, waited_ms=waited_ms)
 
     def retry_held(self, now):
         """Try all that is held again; drop what has waited for too long."""
@@ -282,7 +312,7 @@
         for key, (since, packet) in waiting.items():
             limit = OPENING_HOLD_SECONDS if packet.opens else HOLD_SECONDS
             if now - since > limit:
-                self.observe("dropped", packet)
+                self.drop(since, packet, "waited", now)
             elif not self.try_handle(packet, now):
                 self.held[key] = (since, packet)
 
--- a/lycheevalve/platform/codec.py
+++ b/lycheevalve/platform/codec.py
@@ -12,6 +12,7 @@
 
     read_packet = staticmethod(packets.read_packet)
     build_forward = staticmethod(packets.build_forward)
+    describe_flow = staticmethod(packets.describe_flow)
     read_doors = staticmethod(read_doors)
 
     def __init__(self, settings):
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -2,10 +2,9 @@
 
 import functools
 
-from loguru import logger
-
 from lycheevalve.daemon.http import Response, Server, build_error, build_json
 from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
+from lycheevalve.logs.queue import record
 from lycheevalve.platform.documents import decompress_document, read_document
 from lycheevalve.platform.heartbeats import read_heartbeat
 from lycheevalve.schema.generated.messages import Change
@@ -14,7 +13,6 @@
 READ = ("GET", "/Config.Read")
 HEARTBEAT = ("POST", "/Instances.Heartbeat/")
 DEREGISTER = ("POST", "/Instances.Deregister/")
-logger = logger.bind(part="operators")
 
 
 def make_server(process):
@@ -35,7 +33,7 @@
             if request.method == method and path.startswith(prefix):
                 return await handle(process, path.removeprefix(prefix), request)
     except UnavailableError as error:
-        logger.warning("unavailable", call=path, reason=str(error))
+        record("unavailable", call=path, reason=str(error))
         return build_error(503, str(error))
     return build_error(404, "unknown call")
 
@@ -45,12 +43,12 @@
     try:
         document = read_document(request.body)
     except SettingsError as error:
-        logger.warning("configuration refused", reason=str(error), peer=request.peer)
+        record("refused", reason=str(error), peer=request.peer)
         return build_error(400, str(error))
     held = process.decisions.spreading.held.revision
     if document.revision <= held:
         # What is committed never goes back, so this needs no leader.
-        logger.info("configuration known", revision=document.revision, held=held)
+        record("overtaken", revision=document.revision, held=held)
         return build_json(200, {"version": held})
     change = Change(
         change_id=f"{document.revision}",
@@ -58,7 +56,7 @@
         document=document.text,
     )
     result = await process.propose(change)
-    logger.info("configuration accepted", revision=document.revision, held=result.revision)
+    record("accepted", revision=document.revision, held=result.revision)
     return build_json(200, {"version": result.revision})
 
 
@@ -75,7 +73,7 @@
     try:
         registration = read_heartbeat(name, request.body, process.settings.heartbeat_ms)
     except AnnouncementError as error:
-        logger.warning("heartbeat refused", reason=str(error))
+        record("announcement_refused", reason=str(error))
         return build_error(400, str(error))
     await process.announce(registration)
     return build_json(200, {})
--- a/lycheevalve/platform/packets.py
+++ b/lycheevalve/platform/packets.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import re
 import socket
 import struct
 
@@ -21,6 +22,9 @@
 TARGET = struct.Struct(">Q")
 ANY_TARGET = 0
 
+# Requests carry their id in a header of their own, which names the product.
+REQUEST_ID = re.compile(rb"\r\nX-Lycheevalve-Request-Id:[ \t]*([!-~]{1,64})", re.IGNORECASE)
+
 SYN, ACK, FIN, RST, BOUNCED = 8, 32, 1, 4, 2
 KNOWN_FLAGS = SYN | ACK | FIN | RST | BOUNCED
 NO_PAD = bytes(3)
@@ -49,9 +53,22 @@
         acknowledged=ack,
         size=size,
         raw=data,
+        request=find_request(data) if size else "",
     )
 
 
+def find_request(data):
+    """Return the id of the request that begins in a packet, or an empty text."""
+    found = REQUEST_ID.search(data, HEADER.size)
+    return found[1].decode() if found else ""
+
+
+def describe_flow(packet):
+    """Return a flow as text: the caller's end and the front door."""
+    _, _, _, _, _, _, src, dport, sport, dst, _ = HEADER.unpack_from(packet.raw)
+    return f"{socket.inet_ntoa(src)}:{sport}-{socket.inet_ntoa(dst)}:{dport}"
+
+
 @functools.lru_cache(maxsize=4096)
 def encode_target(name):
     """Return the 8 bytes that name a target by its id, or any target."""
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -5,13 +5,12 @@
 import sys
 
 import trio
-from loguru import logger
 
 from lycheevalve.config.process import changed_options
 from lycheevalve.config.roles import ENTRY, OPTIONS, load_role
 from lycheevalve.daemon.events import Reload, Stop
-from lycheevalve.daemon.logs import set_up_logs
 from lycheevalve.exceptions import LycheevalveError
+from lycheevalve.logs.queue import record, set_up_logs, writer
 
 EXIT_WRONG_INPUT = 2
 # The settings file may change without a signal.
@@ -49,7 +48,7 @@
         try:
             changed_at = os.stat(path).st_mtime_ns
         except OSError as error:
-            logger.warning("settings can't be read", reason=str(error))
+            record("not_reloaded", reason=str(error))
             continue
         if changed_at != seen:
             seen = changed_at
@@ -63,15 +62,15 @@
         settings = load_role(path)
     except* LycheevalveError as group:
         for error in group.exceptions:
-            logger.error("settings not reloaded", reason=str(error))
+            record("not_reloaded", reason=str(error))
     if settings is None:
         return
     reloadable, fixed = changed_options(process.settings, settings, OPTIONS)
     for name in fixed:
-        logger.warning("needs a restart, not reloaded", option=name)
+        record("restart_needed", option=name)
         setattr(settings, name, getattr(process.settings, name))
     await process.inbox.send(Reload(settings))
-    logger.info("reloaded", changed=reloadable)
+    record("reloaded", changed=reloadable)
 
 
 async def run_process(settings, path, early_socket):
@@ -80,6 +79,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_signals, process, path)
         nursery.start_soon(watch_settings, process, path)
+        nursery.start_soon(writer.run)
         await process.run()
         nursery.cancel_scope.cancel()
 
@@ -95,5 +95,8 @@
     if settings is None:
         return EXIT_WRONG_INPUT
     set_up_logs(settings.log_level, instance=settings.name)
-    trio.run(run_process, settings, path, early_socket)
+    try:
+        trio.run(run_process, settings, path, early_socket)
+    finally:
+        writer.close()
     return 0
--- a/lycheevalve/tests/fakes/controls.py
+++ b/lycheevalve/tests/fakes/controls.py
@@ -68,7 +68,7 @@
             read_doors=read_doors,
             forward=lambda upstream, cookie, packet: self.sent.append((upstream, packet)),
             reset=lambda packet: self.sent.append((None, packet)),
-            observe=lambda name, *details: self.events.append((address, name, details)),
+            observe=lambda name, **details: self.events.append((address, name, details)),
         )
         entry.subscriptions.use_seeds(self.seeds, self.now)
         self.begin(address, entry)
--- a/lycheevalve/tests/fakes/edge.py
+++ b/lycheevalve/tests/fakes/edge.py
@@ -57,6 +57,7 @@
     sent: list = attrs.field(factory=list)
     resets: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
+    events: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
         self.steering = Steering(
@@ -70,9 +71,10 @@
             is_informed=lambda now: self.informed,
         )
 
-    def count(self, name, *details):
+    def count(self, name, **details):
         """Count an event."""
         self.counters[name] = self.counters.get(name, 0) + 1
+        self.events.append((name, details))
 
     def learn(self, *registrations, now=0.0):
         """Take registrations."""
--- a/lycheevalve/tests/test_http.py
+++ b/lycheevalve/tests/test_http.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lycheevalve.daemon import http
+from lycheevalve.daemon import http, http_connection
 from lycheevalve.daemon.http import Response, Server
 from lycheevalve.utils.addresses import format_address
 
@@ -114,12 +114,12 @@
         self.check(b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 20_000, b"431")
 
     def test_body_over_the_limit(self, monkeypatch):
-        monkeypatch.setattr(http, "MAX_BODY_BYTES", 100)
+        monkeypatch.setattr(http_connection, "MAX_BODY_BYTES", 100)
         data = POST.replace(b": 4", b": 200").replace(b"body", b"x" * 200)
         assert len(self.check(data, b"413")) == 1
 
     def test_slow_request(self, monkeypatch):
-        monkeypatch.setattr(http, "REQUEST_SECONDS", 0.1)
+        monkeypatch.setattr(http_connection, "REQUEST_SECONDS", 0.1)
         assert len(self.check(POST[:-2], b"408")) == 1
 
     def test_too_many_connections(self, monkeypatch):
--- /dev/null
+++ b/lycheevalve/tests/test_logs.py
@@ -0,0 +1,173 @@
+"""Logs: one schema, a bounded volume, and a reader that may stop reading."""
+
+import ast
+import collections
+import json
+import os
+from pathlib import Path
+
+import loguru
+import pytest
+
+import lycheevalve
+from lycheevalve.logs import queue, schema
+from lycheevalve.logs.queue import LogQueue, Output, Writer
+from lycheevalve.logs.schema import EVENTS, find_mistakes
+
+PACKAGE = Path(lycheevalve.__file__).parent
+PIPE_BYTES = 65_536
+
+
+def find_calls(name):
+    """Return the calls of a function by this name in the package: (place, call)."""
+    for path in sorted(PACKAGE.rglob("*.py")):
+        if "tests" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and getattr(node.func, "id", "") == name:
+                yield f"{path.name}:{node.lineno}", node
+
+
+class TestSchema:
+    """Every line is one of the events, with its fields."""
+
+    def test_all_that_is_recorded_is_in_the_schema(self):
+        seen = set()
+        for place, call in find_calls("record"):
+            if not isinstance(call.args[0], ast.Constant):
+                continue
+            name = call.args[0].value
+            seen.add(name)
+            assert name in EVENTS, place
+            unknown = {k.arg for k in call.keywords} - set(EVENTS[name].fields)
+            assert not unknown, f"{place}: {name} has no {unknown}"
+        assert len(seen) > 15
+
+    def test_mistakes_are_named(self):
+        assert find_mistakes("in_force", {"revision": 3}) == []
+        assert find_mistakes("in_force", {"revision": "3"})
+        assert find_mistakes("in_force", {"version": 3})
+        assert find_mistakes("nonsense", {})
+
+
+class Clock:
+    """A clock that a test sets."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+def build_queue(**values):
+    """Return a queue and its clock."""
+    clock = Clock()
+    return LogQueue(clock, **values), clock
+
+
+class TestVolume:
+    """What one process may write."""
+
+    def test_each_kind_has_a_budget_a_second_and_the_rest_is_counted(self):
+        logs, clock = build_queue()
+        budget = EVENTS["placed"].per_second
+        for _ in range(budget + 7):
+            logs.record("placed", flow="f")
+        logs.record("reset", flow="f", reason="no_upstream")
+        names = collections.Counter(event.name for _, event, _ in logs.take())
+        assert names == {"placed": budget, "reset": 1, "left_out": 1}
+        clock.now += 1.0
+        logs.record("placed", flow="f")
+        assert len(logs.take()) == 1
+
+    def test_count_of_what_was_left_out(self):
+        logs, _ = build_queue()
+        for _ in range(EVENTS["placed"].per_second + 7):
+            logs.record("placed", flow="f")
+        assert logs.take()[-1][2] == {"counts": {"placed": 7}}
+
+    def test_failures_find_room_when_successes_fill_the_queue(self):
+        logs, clock = build_queue()
+        for _ in range(queue.MAX_RECORDS):
+            clock.now += 1.0
+            logs.record("placed", flow="f")
+        logs.record("reset", flow="f", reason="no_upstream")
+        assert len(logs.records) == queue.MAX_INFO_RECORDS + 1
+
+    def test_queue_is_bounded(self):
+        logs, clock = build_queue()
+        for _ in range(queue.MAX_RECORDS + 5):
+            clock.now += 1.0
+            logs.record("reset", flow="f")
+        assert len(logs.records) == queue.MAX_RECORDS
+        assert logs.left_out["reset"] == 5
+
+    def test_events_below_the_level_cost_nothing(self):
+        logs, _ = build_queue(level=schema.WARNING)
+        logs.record("placed", flow="f")
+        assert not logs.take()
+
+
+@pytest.fixture
+def pipe():
+    """A pipe as (reader, writer), closed afterwards."""
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def build_writer(descriptor):
+    """Return a writer on a descriptor and its queue's clock."""
+    logs, clock = build_queue()
+    writer = Writer(logs, Output(descriptor), {"instance": "a1"})
+    writer.connect(loguru)
+    return writer, clock
+
+
+class TestWriter:
+    """Lines on a descriptor."""
+
+    def test_line_has_time_level_event_and_fields(self, pipe):
+        writer, _ = build_writer(pipe[1])
+        writer.queue.record("in_force", revision=7)
+        writer.write()
+        assert json.loads(os.read(pipe[0], 1000)) == {
+            "time": "1970-01-01T00:16:40.000+00:00",
+            "level": "INFO",
+            "event": "in_force",
+            "instance": "a1",
+            "revision": 7,
+        }
+
+    def test_braces_in_fields_are_text(self, pipe):
+        writer, _ = build_writer(pipe[1])
+        writer.queue.record("refused", reason="{0} {x}", peer="a")
+        writer.write()
+        assert json.loads(os.read(pipe[0], 1000))["reason"] == "{0} {x}"
+
+    def test_reader_that_stops_blocks_nothing_and_gets_whole_lines_later(self, pipe):
+        writer, clock = build_writer(pipe[1])
+        for _ in range(1000):
+            clock.now += 1.0
+            for _ in range(20):
+                writer.queue.record("reset", flow="f" * 40, reason="upstream_silent")
+            writer.write()
+        assert len(writer.output.buffer) < queue.MAX_BUFFER_BYTES + PIPE_BYTES
+        data = b""
+        while b"left_out" not in data:
+            data += os.read(pipe[0], PIPE_BYTES)
+            writer.write()
+        lines = data.split(b"\n")[:-1]
+        counts = [json.loads(line).get("counts") for line in lines]
+        assert sum(count["reset"] for count in counts if count) > 0
+
+    def test_reader_that_has_gone_ends_nothing(self):
+        reader, descriptor = os.pipe()
+        writer, _ = build_writer(descriptor)
+        os.close(reader)
+        writer.queue.record("stopped")
+        writer.write()
+        os.close(descriptor)
+        assert not writer.output.buffer
