Reset no flow that may be elsewhere; take old acknowledgements as old

(2) Callers acknowledge every second packet, so a new request acknowledges the answer before it; that counted as an answer at once, and cut-off upstreams looked alive: readiness of sandgerdi-3 flapped five times in three seconds. Ruled out: the upstreams' own resets (explain shows who sent them). Change: idle or repeatable flows leave a silent upstream only at an instance that gets packets, and only if none came since of a flow that began elsewhere; an acknowledgement on a new request counts as of the request before it; without any control replica leases hold for 30 s. A source is silent after 0.75 s, not 1 s. `explain` and its reader of logs are new. Tests: four that failed before.

--- a/lycheevalve/__main__.py
+++ b/lycheevalve/__main__.py
@@ -6,6 +6,7 @@
 from lycheevalve.commands.check import check
 from lycheevalve.commands.diff import diff
 from lycheevalve.commands.drain import drain, undrain
+from lycheevalve.commands.explain import explain
 from lycheevalve.commands.flows import flows
 from lycheevalve.commands.replicas import replicas
 from lycheevalve.commands.report import report
@@ -21,6 +22,7 @@
         check,
         diff,
         drain,
+        explain,
         flows,
         replicas,
         report,
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -12,9 +12,11 @@
 
 # A source that answered within this time is in contact: two polls and a reconnection.
 CONTACT_SECONDS = 2.0
-# A poll is answered within POLL_SECONDS; after twice that time the source or the way
-# to it is gone.
-SILENT_SECONDS = 2 * POLL_SECONDS
+# A poll is answered within POLL_SECONDS; after half as much again the source or the
+# way to it is gone.
+SILENT_SECONDS = 1.5 * POLL_SECONDS
+# Without any source, upstreams are taken to live on for this long.
+BLIND_SECONDS = 30.0
 # A source that nobody names and that has been silent for this long is given up.
 FORGET_SECONDS = 30.0
 # The most sources that one process polls; more would not make news arrive sooner.
@@ -107,6 +109,18 @@
         ]
         return bool(others) and all(now - s.heard_at > SILENT_SECONDS for s in others)
 
+    def trusted_until(self, now):
+        """
+        Return the time up to which it is known who renews and who does not.
+
+        Without any source no news comes at all, of those that live either; what was
+        known then holds for BLIND_SECONDS.
+        """
+        heard_at = max((s.heard_at for s in self.sources.values()), default=now)
+        if now - heard_at <= SILENT_SECONDS:
+            return now
+        return max(heard_at, now - BLIND_SECONDS)
+
     def is_settled(self, now):
         """Return whether a source in contact knows the upstreams."""
         return any(self.sources[address].settled for address in self.in_contact(now))
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -60,6 +60,7 @@
             reset=self.reset,
             observe=self.count,
             is_informed=self.is_informed,
+            lease_time=self.subscriptions.trusted_until,
             data_centre=self.data_centre,
         )
         self.spreading = Spreading(
--- a/lycheevalve/flows/evidence.py
+++ b/lycheevalve/flows/evidence.py
@@ -61,7 +61,10 @@
     """Learn from a packet of an open flow; return ANSWERED, REPEATED or None."""
     shown = None
     if flow.opening or is_progress(flow, packet):
-        note_answer(flow.upstream, now)
+        # A new request also acknowledges the end of the answer before it, which may
+        # have come at any time since the request before it.
+        is_old = packet.size and not flow.opening
+        note_answer(flow.upstream, flow.sent_at if is_old else now)
         if flow.sent is not None and not flow.idle:
             flow.answer_seconds, shown = now - flow.sent_at, ANSWERED
         flow.idle = True
@@ -87,11 +90,12 @@
     return known is not None and is_after(packet.acknowledged, known)
 
 
-def note_answer(upstream, now):
-    """Note that an upstream answered."""
-    upstream.answered_at = now
-    upstream.failures = 0.0
-    upstream.unanswered = 0
+def note_answer(upstream, at):
+    """Note that an upstream answered, at a time or later."""
+    upstream.answered_at = max(upstream.answered_at, at)
+    if at >= upstream.failed_at:
+        upstream.failures = 0.0
+        upstream.unanswered = 0
 
 
 def note_repeat(upstream, now):
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -35,6 +35,9 @@
 # An upstream of another data centre gets a flow when it has this many flows a slot
 # less than those of the own: a cut between data centres then breaks fewer flows.
 FAR_FLOWS_PER_SLOT = 1.0
+# An instance without a packet for this long may be out of the fabric's rotation, and
+# its flows at another one.
+ROTATION_SECONDS = 0.3
 # Flows that this instance keeps in mind, and for how long after their last packet.
 FLOWS_KEPT = 65_536
 FLOW_IDLE_SECONDS = 15.0
@@ -96,6 +99,8 @@
     observe: object
     # Whether settings and upstreams are known well enough to refuse.
     is_informed: object
+    # The time at which leases of upstreams are judged.
+    lease_time: object = lambda now: now
     data_centre: str = ""
     cookies: Cookies = attrs.field(factory=Cookies)
     doors: dict[tuple, Door] | None = None
@@ -104,6 +109,9 @@
     flows: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     openings: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     held: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    # When the last packet came, and when the fabric last moved flows between instances.
+    packet_at: float = float("-inf")
+    moved_at: float = float("-inf")
 
     def learn(self, registration, now):
         """Take an upstream's registration; return whether it is news."""
@@ -126,6 +134,7 @@
 
     def handle(self, packet, now):
         """Take a packet of a caller."""
+        self.packet_at = now
         if not self.try_handle(packet, now):
             self.hold(packet, now)
 
@@ -161,6 +170,9 @@
             # Its address may be another service's by now.
             self.refuse(packet, "upstream_gone", upstream)
             return True
+        if packet.size and packet.flow not in self.flows:
+            # It began at another instance: others of this one may now be there.
+            self.moved_at = now
         flow = self.remember(packet, upstream, now)
         self.tell(note_packet(flow, packet, now), flow, packet)
         if packet.ends:
@@ -197,15 +209,20 @@
         End the flows on silent upstreams that lose nothing by it.
 
         Those are idle ones and those whose requests their callers may repeat:
-        both then open another flow, instead of waiting on this one.
+        both then open another flow, instead of waiting on this one. A flow that may
+        have gone on at another instance is let alone.
         """
+        if now - self.packet_at > ROTATION_SECONDS:
+            return
         silent = [u for u in self.upstreams.by_index.values() if is_silent(u, now)]
         left = [u for u in silent if u.flows and self.has_alternative(u, now)]
         if not left:
             return
         for flow in [flow for flow in self.flows.values() if flow.upstream in left]:
             packet = flow.packet
-            if packet is not None and (flow.idle or self.is_idempotent(packet)):
+            if packet is None or flow.seen_at < self.moved_at:
+                continue
+            if flow.idle or self.is_idempotent(packet):
                 self.refuse(packet, "left_silent", flow.upstream)
 
     def is_idempotent(self, packet):
@@ -273,7 +290,8 @@
 
     def candidates(self, service, now):
         """Return the upstreams of a service that may get a new flow."""
-        return [u for u in self.upstreams.usable(service, now) if u.cookie]
+        usable = self.upstreams.usable(service, self.lease_time(now))
+        return [upstream for upstream in usable if upstream.cookie]
 
     def cost(self, upstream, now):
         """Return how full an upstream looks from here; the lowest is chosen."""
--- a/lycheevalve/tests/test_feeds.py
+++ b/lycheevalve/tests/test_feeds.py
@@ -5,7 +5,7 @@
 from lycheevalve.coordination.subscriptions import FORGET_SECONDS
 from lycheevalve.schema.generated.messages import Fetch
 from lycheevalve.tests.fakes.controls import Controls
-from lycheevalve.tests.fakes.edge import DOOR, build_packet, build_registration
+from lycheevalve.tests.fakes.edge import DOOR, LIFETIME_MS, build_packet, build_registration
 
 AT_ONCE_SECONDS = 0.2
 
@@ -169,6 +169,18 @@
         entry = site.running[site.entries[0]]
         assert len(entry.upstreams.usable("nightsync", site.now)) == 1
 
+    def test_leases_hold_at_an_instance_that_hears_nobody(self):
+        """No renewal reaches it: that says nothing of the upstreams."""
+        site = build_site()
+        site.commit(5)
+        site.running[site.seeds[0]].confirm(build_registration(1), "beat", site.now)
+        site.run(SETTLE_SECONDS)
+        entry = site.entries[0]
+        site.cuts = {frozenset((entry, seed)) for seed in site.seeds}
+        site.run(2 * LIFETIME_MS / 1000)
+        site.running[entry].steering.handle(build_packet(opens=True, door=DOOR), site.now)
+        assert [upstream is None for upstream, _ in site.sent] == [False]
+
     def test_silent_upstream_ends_with_its_lease(self):
         site = build_site()
         site.running[site.seeds[0]].confirm(build_registration(1), "beat", site.now)
--- a/lycheevalve/tests/test_steering.py
+++ b/lycheevalve/tests/test_steering.py
@@ -285,13 +285,7 @@
         site.send(other, CALLER_WINDOW_BYTES, 500, now)
 
     def test_idle_flows_leave_a_silent_upstream_before_their_next_request(self):
-        site = Silence(OTHER_DOOR)
-        idle = site.victims[0]
-        site.send(idle, 0, 300, 0.05, size=0)
-        for now in (0.3, 0.7):
-            for flow in site.victims[1:]:
-                site.send(flow, 0, 1, now, size=0)
-                site.send(flow, 0, 1, now)
+        site, idle = self.build_idle_beside_silence()
         self.answer_other(site, 0.75)
         site.edge.steering.tick(0.8)
         assert [packet.flow for packet in site.edge.resets] == [idle]
@@ -305,12 +299,47 @@
         site.edge.steering.tick(0.55)
         assert {packet.flow for packet in site.edge.resets} == set(site.victims)
 
+    def build_idle_beside_silence(self):
+        """Return a site with a silent upstream, and the flow on it that was idle."""
+        site = Silence(OTHER_DOOR)
+        idle = site.victims[0]
+        site.send(idle, 0, 300, 0.05, size=0)
+        for now in (0.3, 0.7):
+            for flow in site.victims[1:]:
+                site.send(flow, 0, 1, now, size=0)
+                site.send(flow, 0, 1, now)
+        return site, idle
+
+    def test_idle_flow_that_may_go_on_elsewhere_is_left_alone(self):
+        """The fabric's hash has changed: a flow came that began at another instance."""
+        site, _ = self.build_idle_beside_silence()
+        values = {"sequence": 500, "size": CALLER_WINDOW_BYTES}
+        cookie = next(c for c, upstream in site.cookies.values() if upstream is not site.silent)
+        site.edge.handle(build_packet(b"moved", OTHER_DOOR, cookie=cookie, **values), 0.72)
+        self.answer_other(site, 0.75)
+        site.edge.steering.tick(0.8)
+        assert not site.edge.resets
+
+    def test_instance_out_of_rotation_resets_nothing(self):
+        site, _ = self.build_idle_beside_silence()
+        self.answer_other(site, 0.75)
+        site.edge.steering.tick(0.75 + steering.ROTATION_SECONDS + 0.05)
+        assert not site.edge.resets
+
     def test_nothing_is_reset_when_all_seem_silent(self):
         site = Silence()
         site.victims = list(site.cookies)
         site.repeat(0.5, 0.9)
         assert not site.edge.resets
 
+    def test_request_that_acknowledges_an_old_answer_is_no_new_answer(self):
+        """Callers acknowledge every second packet, so the last one of an answer late."""
+        site = Silence(OTHER_DOOR)
+        late = site.victims[0]
+        site.repeat(0.5, 0.9)
+        site.send(late, CALLER_WINDOW_BYTES, 300, 1.0)
+        assert evidence.is_silent(site.silent, 1.0)
+
     def test_one_lost_packet_is_no_silence(self):
         site = Silence()
         site.send(site.victims[0], 0, 1, 0.5)
