--- a/lycheevalve/config/roles.py
+++ b/lycheevalve/config/roles.py
@@ -21,6 +21,7 @@
     "readiness": Option(options.is_optional_address, ""),
     "operators": Option(options.is_optional_address, ""),
     "founding": Option(options.is_one_of(True, False), False),
+    "metrics": Option(options.is_optional_address, ""),
     "data_folder": Option(options.is_any_text, ""),
     "key": Option(options.is_text),
     "heartbeat_ms": Option(options.is_integer(10, 3_600_000), 1000),
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -24,6 +24,7 @@
     Stop,
     Thawed,
 )
+from lycheevalve.daemon.exposition import Metric, counter, gauge, list_upstreams
 from lycheevalve.daemon.links import Links
 from lycheevalve.daemon.pumps import ask_once
 from lycheevalve.daemon.replication import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
@@ -90,6 +91,7 @@
         )
         self.make_server = make_server
         self.view = ReplicaView()
+        self.calls = {}
         self.links = None
         self.replica_inbox = None
         self.learners = frozenset()
@@ -152,6 +154,27 @@
             except StorageError as error:
                 record("upstreams_unwritten", reason=str(error))
 
+    def count_call(self, name, status):
+        """Count an answer to an operator or upstream."""
+        key = (name, str(status))
+        self.calls[key] = self.calls.get(key, 0) + 1
+
+    def list_metrics(self):
+        """Return the metrics of a control replica."""
+        now, decisions, view = trio.current_time(), self.decisions, self.view
+        role = Metric("gauge", "replica_role", "1 for the present role.", ("role",))
+        role.samples.append(((view.role,), 1))
+        subscribers = len(decisions.feed.live_subscribers(now))
+        return [
+            role,
+            gauge("replica_current", "Whether it holds the newest.", int(view.current)),
+            gauge("leader_known", "Whether a leader is known.", int(bool(view.leader))),
+            gauge("revision_held", "The newest held.", decisions.spreading.held.revision),
+            gauge("subscribers", "Processes that poll here.", subscribers),
+            counter("calls", "Answers to calls.", ("call", "status"), self.calls),
+            list_upstreams(decisions.upstreams, now),
+        ]
+
     # Links of other processes.
 
     async def answer_link(self, sender, message):
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -5,6 +5,7 @@
 import trio
 
 from lycheevalve.daemon.events import Batch
+from lycheevalve.daemon.exposition import Metric, counter, gauge, list_upstreams
 from lycheevalve.daemon.http import Response, Server
 from lycheevalve.daemon.roles import RoleProcess
 from lycheevalve.daemon.traffic import Traffic
@@ -80,6 +81,31 @@
                 continue
             self.decisions.steering.handle(packet, now)
 
+    def list_metrics(self):
+        """Return the metrics of an entry instance."""
+        now, decisions = trio.current_time(), self.decisions
+        latencies = Metric(
+            "histogram",
+            "answer_seconds",
+            "From a request's first packet to its first acknowledged answer.",
+            ("service",),
+            decisions.latencies.samples(),
+        )
+        ready = not decisions.why_unready(now)
+        revision = decisions.spreading.applied.revision
+        reached = len(decisions.subscriptions.in_contact(now))
+        return [
+            counter("events", "Events here.", ("event", "reason"), decisions.counters),
+            latencies,
+            gauge("ready", "Whether the fabric may send packets.", int(ready)),
+            gauge("revision_in_force", "The configuration in force.", revision),
+            gauge("flows", "Flows remembered.", len(decisions.steering.flows)),
+            gauge("packets_held", "Packets that wait.", len(decisions.steering.held)),
+            gauge("control_replicas_reached", "Replicas that answer.", reached),
+            counter("send_failures", "Datagrams not sent.", (), {(): self.traffic.dropped}),
+            list_upstreams(decisions.upstreams, now),
+        ]
+
     def forward(self, upstream, cookie, packet):
         """Send a packet to an upstream."""
         self.traffic.send(*self.codec.build_forward(upstream, cookie, packet))
@@ -114,7 +140,9 @@
         now = trio.current_time()
         if now - self.counted_at >= COUNTERS_SECONDS:
             self.counted_at = now
-            record("counters", counts=dict(self.decisions.counters))
+            counts = self.decisions.counters.items()
+            named = {"_".join(filter(None, key)): count for key, count in counts}
+            record("counters", counts=named)
 
     async def handle_stop(self, event):
         """Tell the fabric to send packets elsewhere."""
--- /dev/null
+++ b/lycheevalve/daemon/exposition.py
@@ -0,0 +1,72 @@
+"""
+Metrics of one process in the text format of Prometheus.
+
+The format itself (exposition_text.py) is loaded with the first request for it.
+Names and units follow its conventions; no label has an unbounded set of values.
+"""
+
+import attrs
+
+from lycheevalve import __version__
+from lycheevalve.daemon.http import Response, Server
+from lycheevalve.logs.queue import queue
+from lycheevalve.utils.imports import load_module
+
+PATH = "/metrics"
+
+
+@attrs.frozen
+class Metric:
+    """
+    One metric: `samples` are (label values, value).
+
+    A histogram's values are (counts by upper bound in seconds, sum).
+    """
+
+    kind: str
+    name: str
+    meaning: str
+    labels: tuple = ()
+    samples: list = attrs.field(factory=list)
+
+
+def gauge(name, meaning, value):
+    """Return a gauge without labels."""
+    return Metric("gauge", name, meaning, (), [((), value)])
+
+
+def counter(name, meaning, labels, counts):
+    """Return a counter with labels from {label values: count}."""
+    return Metric("counter", name, meaning, labels, list(counts.items()))
+
+
+def list_common():
+    """Return the metrics of every process."""
+    left_out = {(name,): count for name, count in queue.left_out_total.items()}
+    build = Metric("gauge", "build_info", "1, with the version.", ("version",))
+    build.samples.append(((__version__,), 1))
+    return [build, counter("log_lines_left_out", "Events not logged.", ("event",), left_out)]
+
+
+def list_upstreams(upstreams, now):
+    """Return how many upstreams of each service are in each state."""
+    metric = Metric("gauge", "upstreams", "Upstreams known.", ("service", "state"))
+    counts = {}
+    for upstream in upstreams.by_address.values():
+        key = (upstream.service, upstream.state(now).value)
+        counts[key] = counts.get(key, 0) + 1
+    metric.samples.extend(counts.items())
+    return metric
+
+
+def make_server(address, list_metrics):
+    """Return the Server of a process's metrics; `list_metrics()` returns Metrics."""
+
+    async def answer(request):
+        if request.path.partition("?")[0] != PATH:
+            return Response(404)
+        text = await load_module("lycheevalve.daemon.exposition_text")
+        metrics = [*list_common(), *list_metrics()]
+        return Response(200, text.build_text(metrics), text.CONTENT_TYPE)
+
+    return Server(address, answer)
--- a/lycheevalve/daemon/roles.py
+++ b/lycheevalve/daemon/roles.py
@@ -7,6 +7,7 @@
 
 from lycheevalve.config.roles import link_address, link_addresses
 from lycheevalve.daemon.events import Received, Reload, Stop
+from lycheevalve.daemon.exposition import make_server
 from lycheevalve.daemon.links import make_codec_factory, serve_links
 from lycheevalve.daemon.pumps import Closed, Opened, Pumps
 from lycheevalve.logs.queue import record
@@ -51,11 +52,18 @@
             now = trio.current_time()
             self.decisions.subscriptions.use_seeds(link_addresses(self.settings), now)
             await self.start(nursery)
+            if self.settings.metrics:
+                server = make_server(self.settings.metrics, self.list_metrics)
+                await nursery.start(server.run)
             record("started", role=self.settings.role, address=self.address)
             await self.run_events()
             nursery.cancel_scope.cancel()
         record("stopped")
 
+    def list_metrics(self):
+        """Return the metrics of the role."""
+        raise NotImplementedError
+
     async def start(self, nursery):
         """Start the tasks of the role."""
         raise NotImplementedError
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -15,6 +15,7 @@
 from lycheevalve.flows.isolation import has_own_share, reaches_others
 from lycheevalve.flows.steering import Steering
 from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.reports.latencies import Latencies
 from lycheevalve.schema.generated import messages
 from lycheevalve.utils.addresses import parse_address
 
@@ -51,6 +52,7 @@
 
     def __attrs_post_init__(self):
         self.timers = Timers()
+        self.latencies = Latencies()
         self.upstreams = Upstreams()
         self.subscriptions = Subscriptions(self.address, self.data_centre, False, self.process)
         self.steering = Steering(
@@ -182,6 +184,8 @@
 
     def count(self, name, **details):
         """Count an event, by its reason if it has one, and pass it on."""
-        key = f"{name}_{details['reason']}" if "reason" in details else name
+        key = (name, details.get("reason", ""))
         self.counters[key] = self.counters.get(key, 0) + 1
+        if name == "answered":
+            self.latencies.observe(details["upstream"].service, details["seconds"])
         self.observe(name, **details)
--- a/lycheevalve/logs/queue.py
+++ b/lycheevalve/logs/queue.py
@@ -50,6 +50,7 @@
     records: collections.deque = attrs.field(factory=collections.deque)
     allowances: dict = attrs.field(factory=lambda: collections.defaultdict(Allowance))
     left_out: collections.Counter = attrs.field(factory=collections.Counter)
+    left_out_total: collections.Counter = attrs.field(factory=collections.Counter)
 
     def record(self, name, **fields):
         """Queue an event, unless its level is too low."""
@@ -61,6 +62,7 @@
             self.records.append((now, event, fields))
         else:
             self.left_out[name] += 1
+            self.left_out_total[name] += 1
 
     def has_room(self, event):
         """Return whether an event may wait."""
@@ -108,8 +110,10 @@
     def write(self, seconds=0.0):
         """Write what can be written; wait for a reader up to `seconds` at a time."""
         while self.buffer and self.is_writable(seconds):
+            # Whole lines, so that those of several writers to one pipe do not mix.
+            end = self.buffer.rfind(b"\n", 0, CHUNK_BYTES) + 1 or CHUNK_BYTES
             try:
-                count = os.write(self.descriptor, self.buffer[:CHUNK_BYTES])
+                count = os.write(self.descriptor, self.buffer[:end])
             except OSError:
                 # Nobody will ever read it, and there is no other place to say so.
                 self.buffer.clear()
--- a/lycheevalve/logs/story.py
+++ b/lycheevalve/logs/story.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lycheevalve.logs.schema import EVENTS, FLOW_EVENTS, find_mistakes
+from lycheevalve.logs.schema import FLOW_EVENTS, find_mistakes
 
 # What happened around a request matters for this long before and after it, in
 # seconds: a start, an election and a lease are over within it.
@@ -19,6 +19,8 @@
 AFTER_SECONDS = 5.0
 # Processes log more often than this while callers' packets come.
 QUIET_SECONDS = 0.5
+# After a loss of power the first process runs within this time of the first line.
+START_SECONDS = 2.0
 MAX_BAD_LINES = 10
 FLOW_NAMES = frozenset(event.name for event in FLOW_EVENTS)
 # Events of a process that bear on all of its flows.
@@ -131,6 +133,7 @@
     own = [line for line in lines if is_about(line, subject, flows)]
     if not own:
         return Story(subject, [], [], [], explain_absence(subject, lines))
+    own = add_resets(own, lines, flows)
     begin, end = own[0].at - BEFORE_SECONDS, own[-1].at + AFTER_SECONDS
     near = [line for line in lines if begin <= line.at <= end]
     instances = {line.instance for line in own}
@@ -156,6 +159,24 @@
     return subject in flows or line.fields.get("request") in ("", None, subject)
 
 
+def add_resets(own, lines, flows):
+    """
+    Return the lines with the resets of their flows, whatever request these name.
+
+    An instance that resets a flow may not have seen its newest request.
+    """
+    first = min((line.at for line in own if line.event == "request"), default=own[0].at)
+    resets = [
+        line
+        for line in lines
+        if line.event == "reset"
+        and line not in own
+        and line.fields.get("flow") in flows
+        and first <= line.at <= own[-1].at + AFTER_SECONDS
+    ]
+    return sorted([*own, *resets], key=lambda line: line.at)
+
+
 def is_surrounding(line, instances):
     """Return whether a line bears on all flows of the instances."""
     return line.event in SURROUNDINGS and line.instance in instances
@@ -219,14 +240,13 @@
 
 
 def describe_silence(near):
-    """Return the findings that no process at all logged for a while."""
+    """Return the findings that no process at all logged for a while, and some started."""
+    starts = [line.at for line in near if line.event == "started"]
     return [
-        (
-            one.at,
-            f"no process logged for {other.at - one.at:.3f} s: all stood still or were down",
-        )
+        (one.at, f"no process logged for {other.at - one.at:.3f} s: all were down")
         for one, other in itertools.pairwise(near)
         if other.at - one.at > QUIET_SECONDS
+        and any(other.at <= at <= other.at + START_SECONDS for at in starts)
     ]
 
 
@@ -255,12 +275,3 @@
         text.append(f"bad lines: {lines.bad}")
         text += [f"  {place}" for place in lines.bad_places]
     return text
-
-
-def list_events():
-    """Return the events as rows of a table in Markdown."""
-    rows = ["| event | level | fields | meaning |", "|---|---|---|---|"]
-    for event in EVENTS.values():
-        fields = ", ".join(f"`{name}`" for name in event.fields)
-        rows.append(f"| `{event.name}` | {event.level} | {fields} | {event.meaning} |")
-    return rows
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -22,23 +22,30 @@
 
 async def answer(process, request):
     """Return the Response to a call."""
-    path = request.path.partition("?")[0]
-    call = (request.method, path)
+    handle, name = find_call(request.method, request.path.partition("?")[0])
+    if handle is None:
+        return build_error(404, "unknown call")
     try:
-        if call == REPLACE:
-            return await replace(process, request)
-        if call == READ:
-            return await read(process)
-        for (method, prefix), handle in TARGET_CALLS.items():
-            if request.method == method and path.startswith(prefix):
-                return await handle(process, path.removeprefix(prefix), request)
+        response = await handle(process, name, request)
     except UnavailableError as error:
-        record("unavailable", call=path, reason=str(error))
-        return build_error(503, str(error))
-    return build_error(404, "unknown call")
+        record("unavailable", call=handle.__name__, reason=str(error))
+        response = build_error(503, str(error))
+    process.count_call(handle.__name__, response.status)
+    return response
 
 
-async def replace(process, request):
+def find_call(method, path):
+    """Return the handler of a call, or None, and the target's id in its path."""
+    handle = OPERATOR_CALLS.get((method, path))
+    if handle is not None:
+        return handle, ""
+    for (known, prefix), handle in TARGET_CALLS.items():
+        if method == known and path.startswith(prefix):
+            return handle, path.removeprefix(prefix)
+    return None, ""
+
+
+async def replace(process, _, request):
     """Take a configuration; it is acknowledged once a quorum has it."""
     try:
         document = read_document(request.body)
@@ -60,7 +67,7 @@
     return build_json(200, {"version": result.revision})
 
 
-async def read(process):
+async def read(process, *_):
     """Return the newest configuration."""
     configuration = await process.read()
     if not configuration.document:
@@ -85,4 +92,5 @@
     return build_json(200, {})
 
 
+OPERATOR_CALLS = {REPLACE: replace, READ: read}
 TARGET_CALLS = {HEARTBEAT: heartbeat, DEREGISTER: deregister}
--- /dev/null
+++ b/lycheevalve/reports/latencies.py
@@ -0,0 +1,38 @@
+"""Histograms of answer times, one for each service."""
+
+import bisect
+import itertools
+import math
+
+import attrs
+
+# Upper bounds in seconds; objectives of services lie between 0.1 and 5 s.
+BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, math.inf)
+
+
+@attrs.define
+class Latencies:
+    """Answer times in seconds, counted by service and bound."""
+
+    counts: dict = attrs.field(factory=dict)
+    sums: dict = attrs.field(factory=dict)
+
+    def observe(self, service, seconds):
+        """Count one answer."""
+        counts = self.counts.setdefault(service, [0] * len(BOUNDS))
+        counts[bisect.bisect_left(BOUNDS, seconds)] += 1
+        self.sums[service] = self.sums.get(service, 0.0) + seconds
+
+    def samples(self):
+        """Return ((service,), ([(bound, count up to it)], sum)) of each service."""
+        return [
+            (
+                (service,),
+                (list(zip(LABELS, itertools.accumulate(counts))), self.sums[service]),
+            )
+            for service, counts in self.counts.items()
+        ]
+
+
+# Bounds as the text format writes them.
+LABELS = tuple("+Inf" if math.isinf(bound) else str(bound) for bound in BOUNDS)
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -66,4 +66,5 @@
   // How many instances with disks may be lost at once.
   15: i32 tolerated_losses = 1
   16: string log_level = "INFO"
+  17: string metrics = ""
 }
--- a/lycheevalve/tests/test_logs.py
+++ b/lycheevalve/tests/test_logs.py
@@ -147,6 +147,19 @@
         writer.write()
         assert json.loads(os.read(pipe[0], 1000))["reason"] == "{0} {x}"
 
+    def test_each_write_is_of_whole_lines(self, pipe, monkeypatch):
+        writer, _ = build_writer(pipe[1])
+        written = []
+        write = os.write
+        monkeypatch.setattr(
+            os, "write", lambda to, data: written.append(bytes(data)) or write(to, data)
+        )
+        for _ in range(50):
+            writer.queue.record("reset", flow="f" * 100, reason="upstream_silent")
+        writer.write()
+        assert len(written) > 1
+        assert all(data.endswith(b"\n") for data in written)
+
     def test_reader_that_stops_blocks_nothing_and_gets_whole_lines_later(self, pipe):
         writer, clock = build_writer(pipe[1])
         for _ in range(1000):
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -286,6 +286,7 @@
         self.proposed = []
         self.announced = []
         self.dismissed = []
+        self.counted = []
 
     async def propose(self, change):
         """Accept a change."""
@@ -306,6 +307,10 @@
         """Take a farewell."""
         self.dismissed.append(name)
 
+    def count_call(self, name, status):
+        """Count an answer."""
+        self.counted.append((name, status))
+
     def fail(self):
         """Raise what a process without a leader raises."""
         if self.fails:
--- /dev/null
+++ b/lycheevalve/tests/test_story.py
@@ -0,0 +1,166 @@
+"""`lycheevalve explain`: what the logs of several processes tell of a request."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lycheevalve.commands import explain
+from lycheevalve.logs.schema import EVENTS
+from lycheevalve.logs.story import MAX_BAD_LINES, read_logs, tell_story
+
+FLOW = "100.64.0.7:40001-198.18.0.1:443"
+OTHER = "100.64.0.8:40002-198.18.0.1:443"
+KNOWN = {"upstream": "i-1", "address": "10.0.0.9:80", "answer_age_ms": 12}
+
+
+def build_line(second, event, instance="a1", **fields):
+    """Return a line of a log."""
+    time = f"2026-01-01T00:00:{second:06.3f}+00:00"
+    value = {"time": time, "level": "INFO", "event": event, "instance": instance, **fields}
+    return json.dumps(value)
+
+
+def tell(subject, *files):
+    """Return the story and the lines of some logs."""
+    lines = read_logs({f"log{number}": file for number, file in enumerate(files)})
+    return tell_story(subject, lines.lines), lines
+
+
+PLACED = build_line(1, "placed", flow=FLOW, copy=0, **KNOWN)
+REQUEST = build_line(2, "request", flow=FLOW, request="abc", **KNOWN)
+
+
+class TestStory:
+    """A request's way through several processes."""
+
+    def test_lines_of_several_processes_are_merged_by_time(self):
+        reset = build_line(2.5, "reset", "a2", flow=FLOW, request="abc", reason="left_silent")
+        story, _ = tell("abc", [reset], [REQUEST, PLACED])
+        assert [line.event for line in story.lines] == ["placed", "request", "reset"]
+        assert story.flows == [FLOW]
+        assert story.findings[0].startswith("a2 reset the flow: its upstream was silent")
+        assert not story.missing
+
+    def test_flow_is_told_like_a_request(self):
+        story, _ = tell(FLOW, [PLACED, REQUEST])
+        assert len(story.lines) == 2
+
+    def test_other_requests_and_flows_are_left_out(self):
+        earlier = build_line(1.5, "request", flow=FLOW, request="before", **KNOWN)
+        other = build_line(2, "request", flow=OTHER, request="xyz", **KNOWN)
+        story, _ = tell("abc", [PLACED, earlier, REQUEST, other])
+        assert [line.fields.get("request") for line in story.lines] == [None, "abc"]
+
+    def test_reset_by_an_instance_that_knew_an_older_request_belongs_to_it(self):
+        values = {"flow": FLOW, "request": "before", "reason": "left_silent"}
+        story, _ = tell("abc", [PLACED, REQUEST], [build_line(2.5, "reset", "a2", **values)])
+        assert story.lines[-1].event == "reset"
+        earlier, _ = tell("abc", [PLACED, REQUEST], [build_line(0.5, "reset", "a2", **values)])
+        assert len(earlier.lines) == 2
+
+    def test_news_of_its_upstream_and_its_instance_belong_to_it(self):
+        news = build_line(1.8, "upstream", "c1", upstream="i-1", state="draining")
+        foreign = build_line(1.8, "upstream", "c1", upstream="i-2", state="draining")
+        start = build_line(2.2, "started", role="entry", address="10.0.0.1:7")
+        story, _ = tell("abc", [PLACED, REQUEST, start], [news, foreign])
+        assert [line.event for line in story.lines] == [
+            "placed",
+            "upstream",
+            "request",
+            "started",
+        ]
+        assert "a1 started" in story.findings
+
+    def test_unanswered_repetitions_are_a_finding(self):
+        values = {"flow": FLOW, "request": "abc", **KNOWN}
+        lines = [build_line(at, "repeated", **values) for at in (2.2, 2.6)]
+        story, _ = tell("abc", [PLACED, REQUEST, *lines])
+        assert "upstream i-1 left 2 repetitions unanswered within 0.400 s" in story.findings[0]
+
+    def test_time_without_any_line_is_a_finding(self):
+        start = build_line(4, "started", role="entry", address="10.0.0.1:7")
+        story, _ = tell("abc", [PLACED, REQUEST, start])
+        assert any("no process logged for 2.000 s" in finding for finding in story.findings)
+
+    def test_what_is_missing_is_said(self):
+        left_out = build_line(2.1, "left_out", counts={"placed": 3})
+        story, _ = tell("abc", [REQUEST, left_out])
+        assert story.missing == [
+            f"no line tells where flow {FLOW} was placed",
+            "3 lines about flows were left out at these processes",
+        ]
+
+    def test_unknown_request(self):
+        story, _ = tell("nothing", [PLACED, REQUEST])
+        assert story.lines == []
+        assert "no line names nothing" in story.missing[0]
+
+
+class TestBadLines:
+    """Lines that can't be read are counted and named, and end nothing."""
+
+    def test_text_before_a_line_is_passed_over(self):
+        story, lines = tell("abc", ["  12.5 a1 " + PLACED, "a1: " + REQUEST])
+        assert len(story.lines) == 2
+        assert lines.bad == 0
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "no JSON",
+            "{}",
+            '{"time": 5, "event": "placed"}',
+            '{"time": "2026-01-01T00:00:00+00:00", "event": "nonsense"}',
+            '{"time": "2026-01-01T00:00:00+00:00", "event": ["placed"]}',
+            build_line(1, "placed", flow=7),
+            build_line(1, "placed", unknown=7),
+            REQUEST[:-9],
+            "{" * 100_000,
+        ],
+    )
+    def test_bad_line(self, text):
+        story, lines = tell("abc", [text, PLACED, REQUEST])
+        assert lines.bad == 1
+        assert lines.bad_places[0].startswith("log0:1: ")
+        assert len(story.lines) == 2
+
+    def test_only_the_first_ones_are_named(self):
+        _, lines = tell("abc", ["x"] * 100)
+        assert lines.bad == 100
+        assert len(lines.bad_places) == MAX_BAD_LINES
+
+    @given(st.lists(st.text(), max_size=5))
+    def test_any_text_is_read_or_counted(self, texts):
+        _, lines = tell("abc", texts)
+        assert lines.bad + len(lines.lines) == sum(1 for text in texts if text.strip())
+
+    @given(
+        st.sampled_from(sorted(EVENTS)),
+        st.dictionaries(st.sampled_from(["flow", "request", "counts", "reason"]), st.none()),
+    )
+    def test_any_fields_are_read_or_counted(self, name, fields):
+        _, lines = tell("abc", [build_line(1, name, **fields), PLACED, REQUEST])
+        assert lines.bad + len(lines.lines) == 3
+
+
+class TestCommand:
+    """`lycheevalve explain` itself."""
+
+    def test_text_and_json(self, tmp_path, capsys):
+        log = tmp_path / "a1.jsonl"
+        log.write_bytes(f"{PLACED}\n{REQUEST}\n".encode() + b"\xff\xfe broken\n")
+        explain.explain("abc", str(log))
+        text = capsys.readouterr().out
+        assert "placed" in text and "bad lines: 1" in text
+        explain.explain("abc", str(log), json=True)
+        assert json.loads(capsys.readouterr().out)["flows"] == [FLOW]
+
+    def test_file_that_is_not_there(self, tmp_path):
+        with pytest.raises(SystemExit):
+            explain.explain("abc", str(tmp_path / "none"))
+
+    def test_no_file(self):
+        with pytest.raises(SystemExit):
+            explain.explain("abc")
