Leave a silent upstream only while callers repeat

An instance kept an upstream as silent until it saw an answer of it; with 75 upstreams and few flows each, none had gone there since. Change: flows leave an upstream only within 2 s of the last repetition there (callers repeat at least every 1.6 s); where it is silent still, the next one follows in 0.2 s. A test that failed before.

--- a/lycheevalve/flows/evidence.py
+++ b/lycheevalve/flows/evidence.py
@@ -18,6 +18,8 @@
 SILENT_REPEATS = 2
 # An upstream that answered within this time is not silent, whatever is repeated.
 ANSWER_SECONDS = 0.4
+# Flows leave a silent upstream only while callers repeat: they do so at least this often.
+REPEATED_SECONDS = 2.0
 # One that answered within this time, and owes nothing, is known to answer.
 ANSWERING_SECONDS = 1.0
 # A silent upstream that announces itself gets one new flow in this time, to find
@@ -109,6 +111,11 @@
     return upstream.unanswered >= SILENT_REPEATS and now - upstream.answered_at > ANSWER_SECONDS
 
 
+def is_still_silent(upstream, now):
+    """Return whether callers have repeated in vain just now; the upstream may be back since."""
+    return is_silent(upstream, now) and now - upstream.failed_at < REPEATED_SECONDS
+
+
 def is_answering(upstream, now):
     """Return whether an upstream answered lately and owes no answer."""
     return upstream.unanswered == 0 and now - upstream.answered_at < ANSWERING_SECONDS
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -20,6 +20,7 @@
     avoid_silent,
     is_answering,
     is_silent,
+    is_still_silent,
     note_packet,
     note_repeat,
 )
@@ -195,7 +196,7 @@
 
     def should_move(self, packet, door, upstream, now):
         """Return whether a caller is better off with another flow than with a silent one."""
-        if not (packet.size and door.idempotent and is_silent(upstream, now)):
+        if not (packet.size and door.idempotent and is_still_silent(upstream, now)):
             return False
         return self.has_alternative(upstream, now)
 
@@ -214,7 +215,7 @@
         """
         if now - self.packet_at > ROTATION_SECONDS:
             return
-        silent = [u for u in self.upstreams.by_index.values() if is_silent(u, now)]
+        silent = [u for u in self.upstreams.by_index.values() if is_still_silent(u, now)]
         left = [u for u in silent if u.flows and self.has_alternative(u, now)]
         if not left:
             return
--- a/lycheevalve/tests/test_steering.py
+++ b/lycheevalve/tests/test_steering.py
@@ -326,6 +326,19 @@
         site.edge.steering.tick(0.75 + steering.ROTATION_SECONDS + 0.05)
         assert not site.edge.resets
 
+    def test_flow_on_an_upstream_that_was_silent_long_ago_is_forwarded(self):
+        """A cut has healed, and no flow of this instance went there since."""
+        site = Silence(OTHER_DOOR)
+        site.repeat(0.5, 0.9)
+        doors = {DOOR: DOORS[DOOR], OTHER_DOOR: Door((("nightsync", 1),))}
+        site.edge.configure(doors, now=0.9)
+        later = 0.9 + evidence.REPEATED_SECONDS + 0.1
+        other = next(flow for flow in site.cookies if flow not in site.victims)
+        site.send(other, 0, 500, later, size=0)
+        moved = build_packet(b"moved", cookie=site.silent.cookie, size=CALLER_WINDOW_BYTES)
+        assert site.edge.handle(moved, later + 0.1) is not None
+        assert not site.edge.resets
+
     def test_nothing_is_reset_when_all_seem_silent(self):
         site = Silence()
         site.victims = list(site.cookies)
