Forward to an upstream until its farewell is answered; add the soak

Change: after a farewell flows are forwarded for another second. Tests: one that failed before.

It checks answers, runs, reads, what is in force, farewells, and that planned changes alone break no flow.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -298,7 +298,7 @@
     Mutant(
         "cookies: replaced upstreams are used on",
         "flows/steering.py",
-        "        if upstream.replaced:",
+        "        if upstream.is_gone(now):",
         "        if False:",
         f"{STEERING}::TestSteeredFlows",
     ),
--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,137 @@
+"""
+Run the soak: real processes on loopback, faults drawn from a seed.
+
+It checks the promises by what callers, upstreams and operators see, ends with a
+JSON line, and prints the command that repeats a failure.
+"""
+
+import json
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+import trio
+
+from bench.soak.callers import Caller
+from bench.soak.faults import Events
+from bench.soak.operator import Operator
+from bench.soak.site import ZONES, Site
+
+FABRIC_PORT = 7610
+START_SECONDS = 30.0
+SESSION_PAUSE_SECONDS = 0.6
+CALLERS_A_ZONE = 2
+SESSIONS_A_CALLER = 3
+# What is mended must serve again after this time.
+RECOVERY_SECONDS = 8.0
+FINAL_SECONDS = 4.0
+
+
+def log(text):
+    """Tell what happens."""
+    print(f"{trio.current_time():.3f} {text}", file=sys.stderr, flush=True)
+
+
+async def run_caller(caller, doors):
+    """Run sessions one after the other, for ever."""
+    while True:
+        door = caller.random.choice(doors)
+        requests = caller.random.randint(1, 12)
+        await caller.run_session(door, requests, SESSION_PAUSE_SECONDS)
+
+
+async def run_soak(site, seed, seconds):
+    """Run the site with its stand-ins and events."""
+    async with trio.open_nursery() as nursery:
+        operator = Operator(site, seed)
+        events = Events(site, nursery, seed, log)
+        for name in site.machines:
+            site.start(name)
+        site.founding = False
+        events.add_all()
+        nursery.start_soon(site.probe)
+        with trio.fail_after(START_SECONDS):
+            await operator.send_first()
+            while not all(site.machines[name].ready for name in site.names("entry")):
+                await trio.sleep(0.2)
+        site.note_fault()
+        callers = await start_callers(site, nursery, seed, list(operator.doors))
+        for task in (operator.run, operator.read):
+            nursery.start_soon(task)
+        nursery.start_soon(operator.check_in_force, callers)
+        await events.run(seconds)
+        await trio.sleep(RECOVERY_SECONDS)
+        await check_end(site, operator)
+        nursery.cancel_scope.cancel()
+
+
+async def start_callers(site, nursery, seed, doors):
+    """Start all callers and their sessions; return them."""
+    callers = []
+    for number in range(CALLERS_A_ZONE * len(ZONES)):
+        zone = ZONES[number % len(ZONES)]
+        caller = Caller(f"127.{site.network}.8.{number + 1}", zone, site, seed + number)
+        callers.append(caller)
+        await nursery.start(caller.run)
+        for _ in range(SESSIONS_A_CALLER):
+            nursery.start_soon(run_caller, caller, doors)
+    return callers
+
+
+async def check_end(site, operator):
+    """Check that all serves again and that what was acknowledged is there."""
+    before = site.answered
+    await trio.sleep(FINAL_SECONDS)
+    if site.answered - before < FINAL_SECONDS:
+        site.break_promise("nothing is served after all was mended")
+    addresses = site.control_addresses()
+    versions = [await operator.read_once(address) for address in addresses]
+    if max(versions) < operator.acknowledged:
+        site.break_promise(f"read {versions}, {operator.acknowledged} was acknowledged")
+    site.check_runs()
+
+
+def soak(seed=1, minutes=1.0, keep="", network=0, calm_seconds=8.0):
+    """
+    Run the soak once; KEEP names a new folder for settings, logs and data.
+
+    Bounds of time are checked once nothing has failed for CALM_SECONDS.
+
+    NETWORK is the second number of the loopback addresses, 2 to 250; runs beside
+    each other need different ones.
+
+    Example: scripts/soak --seed 7 --minutes 2
+    """
+    folder = Path(keep or tempfile.mkdtemp(prefix="lycheevalve-soak-")).absolute()
+    folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        # What an earlier run stored would be taken for this one's.
+        sys.exit(f"{folder} is not empty")
+    network = network or 2 + seed % 248
+    site = Site(folder, FABRIC_PORT, network, calm_seconds=calm_seconds)
+    try:
+        trio.run(run_soak, site, seed, minutes * 60)
+    finally:
+        site.stop_all()
+    violations = site.ledger.violations
+    summary = {
+        "seed": seed,
+        "minutes": minutes,
+        "answered": site.answered,
+        "failed": dict(site.outcomes),
+        "violations": violations[:20],
+        "broken": len(violations),
+    }
+    print(json.dumps(summary))
+    if violations:
+        print(f"logs: {folder}", file=sys.stderr)
+        print(f"again: scripts/soak --seed {seed} --minutes {minutes}", file=sys.stderr)
+        sys.exit(1)
+    if not keep:
+        shutil.rmtree(folder)
+
+
+if __name__ == "__main__":
+    fire.Fire(soak, serialize=lambda _: None)
--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,160 @@
+"""The soak's callers: flows with several requests each, and what became of them."""
+
+import random
+import socket
+
+import attrs
+import trio
+
+from lycheevalve.tests.fakes.segments import ACK, FIN, RST, SYN, Segment, read_segment
+
+SYN_TIMES = (0.2, 0.4, 0.8)
+REPEAT_TIMES = (0.2, 0.4, 0.8, 1.6)
+MAX_DATAGRAM_BYTES = 2048
+LAST_PORT = 60_000
+
+
+class FlowError(Exception):
+    """A flow that did not open, or a request without an answer; says how."""
+
+
+@attrs.define(eq=False)
+class Flow:
+    """The caller's end of one flow."""
+
+    caller: object
+    port: int
+    door: tuple
+    sequence: int
+    acknowledged: int = 0
+    cookie: int = 0
+    arrivals: object = None
+
+    async def send(self, flags, data=b"", sequence=None):
+        """Send a segment through the fabric."""
+        segment = Segment(
+            (self.caller.ip, self.port),
+            self.door,
+            flags,
+            self.sequence if sequence is None else sequence,
+            self.acknowledged,
+            self.cookie,
+            data,
+        )
+        await self.caller.send(segment)
+
+    async def receive(self, seconds):
+        """Return the next segment, or None in time; raise FlowError for a reset."""
+        with trio.move_on_after(seconds):
+            segment = await self.arrivals.receive()
+            if segment.flags & RST:
+                raise FlowError("reset")
+            self.cookie = segment.cookie
+            return segment
+        return None
+
+    async def open(self):
+        """Open the flow; raise FlowError."""
+        for copy, seconds in enumerate(SYN_TIMES):
+            self.acknowledged = copy
+            await self.send(SYN)
+            segment = await self.receive(seconds)
+            if segment is not None and segment.flags & SYN:
+                self.sequence += 1
+                self.acknowledged = segment.sequence + 1
+                await self.send(ACK)
+                return
+        raise FlowError("not opened")
+
+    async def ask(self, request):
+        """Send a request and return its answer; raise FlowError."""
+        host = f"GET / HTTP/1.1\r\nX-Lycheevalve-Request-Id: {request}\r\n\r\n"
+        data, begin = host.encode(), self.sequence
+        self.sequence += len(data)
+        for seconds in REPEAT_TIMES:
+            await self.send(ACK, data, begin)
+            end = trio.current_time() + seconds
+            while (left := end - trio.current_time()) > 0:
+                segment = await self.receive(left)
+                if segment is not None and segment.data:
+                    answer = await self.take(segment)
+                    if answer is not None:
+                        return answer
+        raise FlowError("no answer")
+
+    async def take(self, segment):
+        """Acknowledge data; return it when it is new."""
+        is_new = segment.sequence == self.acknowledged
+        if is_new:
+            self.acknowledged += len(segment.data)
+        await self.send(ACK)
+        return segment.data if is_new else None
+
+
+class Caller:
+    """One caller with an address of its own, in one data centre."""
+
+    def __init__(self, ip, zone, site, seed):
+        self.ip = ip
+        self.zone = zone
+        self.site = site
+        self.random = random.Random(seed)
+        self.flows = {}
+        self.next_port = 1024
+        self.number = 0
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Take segments for all flows."""
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as self.socket:
+            await self.socket.bind((self.ip, self.site.fabric_port))
+            task_status.started()
+            while True:
+                data, _ = await self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+                segment = read_segment(data)
+                flow = self.flows.get(segment.receiver[1])
+                if flow is not None:
+                    try:
+                        flow.send_nowait(segment)
+                    except (trio.WouldBlock, trio.BrokenResourceError):
+                        self.site.lost_segments += 1
+
+    async def send(self, segment):
+        """Send a segment to the instance that the fabric chooses."""
+        address = self.site.choose_entry(segment, self.zone)
+        if address is not None:
+            await self.socket.sendto(segment.encode(), address)
+
+    def build_flow(self, door):
+        """Return a new flow to a front door."""
+        self.next_port = self.next_port + 1 if self.next_port < LAST_PORT else 1024
+        sender, receiver = trio.open_memory_channel(64)
+        self.flows[self.next_port] = sender
+        return Flow(self, self.next_port, door, self.random.getrandbits(31), arrivals=receiver)
+
+    async def close(self, flow):
+        """Close a flow; at the end of the soak its socket may be closed before."""
+        self.flows.pop(flow.port, None)
+        if self.socket.fileno() >= 0:
+            await flow.send(FIN | ACK)
+
+    async def run_session(self, door, requests, pause):
+        """Open a flow and ask a few times; tell the site what became of it."""
+        flow, is_open = self.build_flow(door), False
+        try:
+            await flow.open()
+            is_open = True
+            for _ in range(requests):
+                await self.ask(flow, door)
+                await trio.sleep(self.random.uniform(0.2, 1.0) * pause)
+        except FlowError as error:
+            self.site.note_failure(self, flow, str(error), is_open)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.close(flow)
+
+    async def ask(self, flow, door):
+        """Ask once and check the answer."""
+        self.number += 1
+        request = f"{self.ip}-{self.number}"
+        answer = await flow.ask(request)
+        self.site.check_answer(door, request, answer)
--- /dev/null
+++ b/bench/soak/site.py
@@ -0,0 +1,201 @@
+"""The soak's site: real processes of both roles, the fabric, and what is checked."""
+
+import collections
+import hashlib
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+import trio
+
+from bench.soak.calls import call
+from bench.soak.upstreams import Ledger
+
+ZONES = ("dc1", "dc2", "dc3", "dc4")
+SERVICES = ("nightsync", "restreport")
+LINK_PORT = 7600
+READY_PORT = 7601
+CONTROL_PORT = 7602
+PROBE_SECONDS = 0.5
+STOP_SECONDS = 8.0
+
+
+@attrs.define
+class Machine:
+    """One machine: its role, its place and its process."""
+
+    name: str
+    role: str
+    ip: str
+    zone: str
+    process: object = None
+    ready: bool = False
+    misses: int = 0
+
+
+@attrs.define(eq=False)
+class Site:
+    """The machines, the fabric's view of them, and what was seen."""
+
+    folder: Path
+    fabric_port: int
+    # Loopback network of this run: 127.NETWORK.*.*.
+    network: int
+    entries: int = 4
+    machines: dict = attrs.field(factory=dict)
+    ledger: Ledger = attrs.field(factory=Ledger)
+    outcomes: collections.Counter = attrs.field(factory=collections.Counter)
+    answered: int = 0
+    lost_segments: int = 0
+    failed_at: float = float("-inf")
+    # Time bounds hold for a site in which nothing has failed for this long.
+    calm_seconds: float = 8.0
+    founding: bool = True
+
+    def __attrs_post_init__(self):
+        for number, zone in enumerate(ZONES):
+            ip = f"127.{self.network}.1.{number + 1}"
+            self.add(Machine(f"control-{zone}", "control", ip, zone))
+        for number in range(self.entries):
+            zone = ZONES[number % len(ZONES)]
+            ip = f"127.{self.network}.2.{number + 1}"
+            self.add(Machine(f"entry-{number + 1}", "entry", ip, zone))
+
+    def add(self, machine):
+        """Add a machine."""
+        self.machines[machine.name] = machine
+
+    def names(self, role):
+        """Return the names of the machines of a role."""
+        return [m.name for m in self.machines.values() if m.role == role]
+
+    def control_addresses(self):
+        """Return where control replicas take calls."""
+        return [(m.ip, CONTROL_PORT) for m in self.machines.values() if m.role == "control"]
+
+    # Processes.
+
+    def write_settings(self, machine):
+        """Write the settings of a machine's process; return their path."""
+        seeds = [f"{ip}:{CONTROL_PORT}" for ip, _ in self.control_addresses()][:3]
+        values = {
+            "role": machine.role,
+            "name": machine.name,
+            "data_centre": machine.zone,
+            "ip": machine.ip,
+            "link_port": LINK_PORT,
+            "seeds": seeds,
+            "founding": self.founding,
+            "key": "key-of-the-soak-not-secret",
+            "heartbeat_ms": 500,
+        }
+        if machine.role == "entry":
+            values["packets"] = f"{machine.ip}:{self.fabric_port}"
+            values["readiness"] = f"{machine.ip}:{READY_PORT}"
+        else:
+            values["operators"] = f"{machine.ip}:{CONTROL_PORT}"
+            values["data_folder"] = str(self.folder / f"data-{machine.name}")
+            (self.folder / f"data-{machine.name}").mkdir(exist_ok=True)
+        path = self.folder / f"{machine.name}.toml"
+        path.write_text("".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items()))
+        return path
+
+    def start(self, name):
+        """Start a machine's process; its output is added to a file of its name."""
+        machine = self.machines[name]
+        path = self.write_settings(machine)
+        with open(self.folder / f"{name}.jsonl", "a") as output:
+            machine.process = subprocess.Popen(
+                [sys.executable, "-m", "lycheevalve.platform", str(path)],
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def signal(self, name, number):
+        """Send a signal to a machine's process, if it runs."""
+        process = self.machines[name].process
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    async def wait(self, name):
+        """Wait for the end of a machine's process; kill one that does not end."""
+        process = self.machines[name].process
+        with trio.move_on_after(STOP_SECONDS):
+            while process.poll() is None:
+                await trio.sleep(0.05)
+            return
+        self.ledger.violations.append(f"{name} did not stop in {STOP_SECONDS} s")
+        process.kill()
+        process.wait()
+
+    def stop_all(self):
+        """End all processes, by id."""
+        for name, machine in self.machines.items():
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGKILL)
+            if machine.process is not None:
+                machine.process.wait()
+
+    # The fabric.
+
+    async def probe(self):
+        """Ask all entry instances whether they are ready, as the fabric does."""
+        async with trio.open_nursery() as nursery:
+            for name in self.names("entry"):
+                nursery.start_soon(self.probe_one, self.machines[name])
+
+    async def probe_one(self, machine):
+        """Ask one entry instance for ever; two misses end its rotation."""
+        while True:
+            status, _ = await call((machine.ip, READY_PORT), "GET", "/ready")
+            machine.misses = 0 if status == 200 else machine.misses + 1
+            machine.ready = status == 200 or (machine.ready and machine.misses < 2)
+            await trio.sleep(PROBE_SECONDS)
+
+    def choose_entry(self, segment, zone):
+        """Return the address of the entry instance that gets a segment, or None."""
+        entries = [self.machines[name] for name in self.names("entry")]
+        near = [m for m in entries if m.zone == zone and m.ready]
+        candidates = near or [m for m in entries if m.ready] or entries
+        key = f"{segment.sender}{segment.receiver}".encode()
+        digest = int.from_bytes(hashlib.sha256(key).digest()[:4], "big")
+        return candidates[digest % len(candidates)].ip, self.fabric_port
+
+    # What is checked.
+
+    def note_fault(self):
+        """Note that something was broken or mended just now."""
+        self.failed_at = trio.current_time()
+
+    def is_calm(self):
+        """Return whether nothing was broken or mended lately."""
+        return trio.current_time() - self.failed_at > self.calm_seconds
+
+    def break_promise(self, text):
+        """Note a broken promise."""
+        self.ledger.violations.append(f"{trio.current_time():.3f} {text}")
+
+    def note_failure(self, caller, flow, reason, is_open):
+        """Note a session that failed; planned changes alone must break none."""
+        self.outcomes[reason] += 1
+        if self.is_calm():
+            state = "open" if is_open else "opening"
+            place = f"{caller.ip}:{flow.port}-{flow.door[0]}:{flow.door[1]}"
+            self.break_promise(f"{state} flow {place}: {reason}")
+
+    def check_answer(self, door, request, answer):
+        """Check that an answer is that of a request, by its service."""
+        self.answered += 1
+        service, _, found = answer.decode().rpartition("\r\n")[2].partition(" ")
+        if found != request or service not in self.ledger.doors[door]:
+            self.break_promise(f"request {request} to {door} got {answer!r}")
+
+    def check_runs(self):
+        """Check that no request ran twice."""
+        for request, count in self.ledger.runs.items():
+            if count > 1:
+                self.break_promise(f"request {request} ran {count} times")
--- a/lycheevalve/flows/steering.py
+++ b/lycheevalve/flows/steering.py
@@ -167,7 +167,7 @@
         upstream = self.cookies.find(packet.cookie)
         if upstream is None:
             return False
-        if upstream.replaced:
+        if upstream.is_gone(now):
             # Its address may be another service's by now.
             self.refuse(packet, "upstream_gone", upstream)
             return True
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -17,6 +17,8 @@
 # After its lease has run out, an upstream that answered lately still serves.
 ANSWER_GRACE_SECONDS = 1.0
 KEEP_GONE_SECONDS = 7200.0
+# An upstream says farewell before its end, which takes until it has its answer.
+FAREWELL_SECONDS = 1.0
 
 
 class UpstreamState(enum.Enum):
@@ -58,8 +60,10 @@
     # Repetitions since the last answer, and the last try in spite of them, see evidence.py.
     unanswered: int = 0
     probed_at: float = float("-inf")
-    # Another incarnation has its address, or it said that it is gone.
+    # Another incarnation has its address.
     replaced: bool = False
+    # When it said farewell.
+    left_at: float = float("inf")
 
     @property
     def service(self):
@@ -81,10 +85,14 @@
 
     def is_serving(self, now):
         """Return whether established flows may be forwarded to it."""
-        if self.replaced:
+        if self.replaced or self.registration.leaving:
             return False
         return now < self.expires_at or now - self.answered_at < ANSWER_GRACE_SECONDS
 
+    def is_gone(self, now):
+        """Return whether it can't have its flows any more."""
+        return self.replaced or now - self.left_at > FAREWELL_SECONDS
+
     def warmth(self, now, warm_up_seconds):
         """Return the share of its capacity a starting upstream may get, 0.1 to 1."""
         if warm_up_seconds <= 0:
@@ -132,7 +140,7 @@
         upstream.expires_at = now + registration.lifetime_ms / 1000
         upstream.reported_at = now
         upstream.since_report = 0
-        upstream.replaced = registration.leaving
+        upstream.left_at = now if registration.leaving else float("inf")
 
     def replace(self, current, registration, address, now):
         """Add a new incarnation; the old one of the address ends."""
--- /dev/null
+++ b/lycheevalve/tests/test_soak.py
@@ -0,0 +1,33 @@
+"""A short seeded soak of the real processes; its bounds of time are not checked here."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+NEVER_SECONDS = 1_000_000
+
+
+class TestSoak:
+    """The promises that need no clock, through faults of every kind."""
+
+    @pytest.mark.parametrize("seed", [1, 4])
+    def test_promises_hold(self, seed):
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "bench.soak",
+                f"--seed={seed}",
+                "--minutes=0.15",
+                f"--calm-seconds={NEVER_SECONDS}",
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        summary = json.loads(done.stdout)
+        assert summary["violations"] == []
+        assert summary["answered"] > 0
+        assert done.returncode == 0
--- a/lycheevalve/tests/test_steering.py
+++ b/lycheevalve/tests/test_steering.py
@@ -112,6 +112,15 @@
         assert edge.handle(build_packet(cookie=cookie)) is None
         assert len(edge.resets) == 1
 
+    def test_flow_of_an_upstream_that_says_farewell_is_forwarded_until_it_ends(self):
+        """It waits for its answer before it ends, and serves meanwhile."""
+        edge = build_edge(1)
+        _, cookie, _ = edge.handle(build_packet(opens=True))
+        edge.learn(build_registration(1, leaving=True, sequence=2), now=5.0)
+        assert edge.handle(build_packet(cookie=cookie), 5.3) is not None
+        assert edge.handle(build_packet(cookie=cookie), 6.5) is None
+        assert len(edge.resets) == 1
+
     def test_late_registration_of_the_old_incarnation_changes_nothing(self):
         edge = build_edge(0)
         edge.learn(build_registration(1, "restreport", incarnation=5000))
