--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -314,7 +314,7 @@
         "flows/steering.py",
         "        self.leave_silent(now)\n",
         "",
-        f"{STEERING}::TestSilence",
+        "test_silence.py::TestSilence",
     ),
     Mutant(
         "feeds: farewells are acknowledged at once",
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -6,7 +6,15 @@
 import attrs
 import trio
 
-from lycheevalve.tests.fakes.segments import ACK, FIN, RST, SYN, Segment, read_segment
+from lycheevalve.tests.fakes.platform import (
+    ACK,
+    FIN,
+    RST,
+    SYN,
+    Segment,
+    build_request,
+    read_segment,
+)
 
 SYN_TIMES = (0.2, 0.4, 0.8)
 REPEAT_TIMES = (0.2, 0.4, 0.8, 1.6)
@@ -68,8 +76,7 @@
 
     async def ask(self, request):
         """Send a request and return its answer; raise FlowError."""
-        host = f"GET / HTTP/1.1\r\nX-Lycheevalve-Request-Id: {request}\r\n\r\n"
-        data, begin = host.encode(), self.sequence
+        data, begin = build_request(request), self.sequence
         self.sequence += len(data)
         for seconds in REPEAT_TIMES:
             await self.send(ACK, data, begin)
--- a/bench/soak/operator.py
+++ b/bench/soak/operator.py
@@ -8,6 +8,7 @@
 from bench.soak.callers import FlowError
 from bench.soak.calls import call
 from bench.soak.site import SERVICES
+from lycheevalve.tests.fakes.platform import READ_PATH, REPLACE_PATH, build_configuration
 
 CHANGE_SECONDS = 1.0
 READ_SECONDS = 0.7
@@ -33,20 +34,7 @@
         doors = self.doors | {(self.host, FIRST_EXTRA_PORT + version): SERVICES[0]}
         for door, service in doors.items():
             self.site.ledger.doors.setdefault(door, set()).add(service)
-        routes = [
-            {
-                "name": f"r-{port}",
-                "host": host,
-                "pathPrefix": f"/{port}/",
-                "routeType": "unsafe" if port == 443 else "safe",
-                "timeoutMs": 2000,
-                "service": service,
-            }
-            for (host, port), service in doors.items()
-        ]
-        services = [{"name": name, "healthCheckPath": "/health"} for name in SERVICES]
-        value = {"version": version, "routes": routes, "services": services, "limits": {}}
-        return json.dumps(value).encode()
+        return build_configuration(version, doors, unsafe_ports=(443,))
 
     async def change(self):
         """Send the next version until it is acknowledged or given up on."""
@@ -55,7 +43,7 @@
         body = self.build(version)
         for attempt in range(ATTEMPTS):
             address = self.random.choice(self.site.control_addresses())
-            status, _ = await call(address, "POST", "/Config.Replace", body)
+            status, _ = await call(address, "POST", REPLACE_PATH, body)
             if status == 200:
                 self.acknowledged = max(self.acknowledged, version)
                 return True
@@ -84,7 +72,7 @@
         """Send an old version once more: acknowledged or unanswered, never refused."""
         version = self.random.randint(1, self.version)
         address = self.random.choice(self.site.control_addresses())
-        status, _ = await call(address, "POST", "/Config.Replace", self.build(version))
+        status, _ = await call(address, "POST", REPLACE_PATH, self.build(version))
         if status not in (0, 200, 503):
             self.site.break_promise(f"version {version}, sent again, got {status}")
 
@@ -97,7 +85,7 @@
     async def read_once(self, address):
         """Read once; return the version, or 0 without an answer."""
         least = self.acknowledged
-        status, body = await call(address, "GET", "/Config.Read")
+        status, body = await call(address, "GET", READ_PATH)
         if status != 200:
             return 0
         version = json.loads(body)["version"]
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -13,6 +13,7 @@
 
 from bench.soak.calls import call
 from bench.soak.upstreams import Ledger
+from lycheevalve.tests.fakes.platform import READY_PATH
 
 ZONES = ("dc1", "dc2", "dc3", "dc4")
 SERVICES = ("nightsync", "restreport")
@@ -151,7 +152,7 @@
     async def probe_one(self, machine):
         """Ask one entry instance for ever; two misses end its rotation."""
         while True:
-            status, _ = await call((machine.ip, READY_PORT), "GET", "/ready")
+            status, _ = await call((machine.ip, READY_PORT), "GET", READY_PATH)
             machine.misses = 0 if status == 200 else machine.misses + 1
             machine.ready = status == 200 or (machine.ready and machine.misses < 2)
             await trio.sleep(PROBE_SECONDS)
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -1,7 +1,6 @@
 """The soak's upstreams: they answer flows, announce themselves and keep a ledger."""
 
 import collections
-import json
 import random
 import socket
 
@@ -9,12 +8,16 @@
 import trio
 
 from bench.soak.calls import call
-from lycheevalve.tests.fakes.segments import (
+from lycheevalve.tests.fakes.platform import (
     ACK,
+    FAREWELL_PATH,
     FIN,
+    HEARTBEAT_PATH,
     RST,
     SYN,
     Segment,
+    build_heartbeat,
+    read_request,
     read_segment,
     split_target,
 )
@@ -88,7 +91,7 @@
         if await self.beat():
             self.drained_at = trio.current_time()
         await trio.sleep(DRAIN_SECONDS + 1.0)
-        await self.tell_control(f"/Instances.Deregister/{self.name}", {})
+        await self.tell_control(FAREWELL_PATH + self.name, b"")
         self.scope.cancel()
 
     # Announcements.
@@ -102,25 +105,22 @@
     async def beat(self):
         """Announce this upstream once; return whether that was acknowledged."""
         self.sequence += 1
-        body = {
-            "service": self.service,
-            "address": format_address(self.address),
-            "zone": self.zone,
-            "version": "v1",
-            "slots": 4,
-            "state": self.state,
-            "warmupLeftMs": 0,
-            "sequence": self.sequence,
-            "born": self.born,
-        }
-        return await self.tell_control(f"/Instances.Heartbeat/{self.name}", body)
+        body = build_heartbeat(
+            self.service,
+            format_address(self.address),
+            self.zone,
+            self.state,
+            self.sequence,
+            self.born,
+        )
+        return await self.tell_control(HEARTBEAT_PATH + self.name, body)
 
     async def tell_control(self, path, body):
         """Call one control replica after the other until one acknowledges."""
         controls = list(self.site.control_addresses())
         self.random.shuffle(controls)
         for address in controls:
-            status, _ = await call(address, "POST", path, json.dumps(body).encode())
+            status, _ = await call(address, "POST", path, body)
             if status == 200:
                 return True
         return False
@@ -172,7 +172,7 @@
 
     async def answer(self, flow, segment):
         """Run a request and send its answer until it is acknowledged."""
-        request = segment.data.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
+        request = read_request(segment.data)
         self.site.ledger.runs[request] += 1
         await trio.sleep(WORK_SECONDS)
         answer = f"HTTP/1.1 200 OK\r\n\r\n{self.service} {request}".encode()
--- a/lycheevalve/tests/fakes/edge.py
+++ b/lycheevalve/tests/fakes/edge.py
@@ -90,3 +90,11 @@
         before = len(self.sent)
         self.steering.handle(packet, now)
         return self.sent[before] if len(self.sent) > before else None
+
+
+def build_edge(count=2, **values):
+    """Return an instance that knows a few upstreams of nightsync and the front doors."""
+    edge = Edge(**values)
+    edge.learn(*(build_registration(number) for number in range(1, count + 1)))
+    edge.configure()
+    return edge
--- /dev/null
+++ b/lycheevalve/tests/fakes/platform.py
@@ -0,0 +1,111 @@
+"""What callers, upstreams and operators of the platform write and read."""
+
+import json
+import re
+import socket
+
+import attrs
+
+from lycheevalve.platform.packets import ACK, FIN, HEADER, NO_PAD, RST, SYN, TARGET
+
+__all__ = ["ACK", "FIN", "RST", "SYN"]
+READY_PATH = "/ready"
+READ_PATH = "/Config.Read"
+REPLACE_PATH = "/Config.Replace"
+HEARTBEAT_PATH = "/Instances.Heartbeat/"
+FAREWELL_PATH = "/Instances.Deregister/"
+REQUEST_ID = re.compile(rb"X-Lycheevalve-Request-Id: (\S+)")
+
+
+@attrs.frozen
+class Segment:
+    """One packet of a flow; `sender` and `receiver` are its ends as (ip, port)."""
+
+    sender: tuple
+    receiver: tuple
+    flags: int
+    sequence: int = 0
+    acknowledged: int = 0
+    cookie: int = 0
+    data: bytes = b""
+
+    def encode(self):
+        """Return the segment as bytes; the sum is not checked by the stand-ins."""
+        head = HEADER.pack(
+            self.cookie,
+            self.sequence,
+            self.acknowledged,
+            0,
+            self.flags,
+            NO_PAD,
+            socket.inet_aton(self.sender[0]),
+            self.receiver[1],
+            self.sender[1],
+            socket.inet_aton(self.receiver[0]),
+            len(self.data),
+        )
+        return head + self.data
+
+
+def read_segment(data):
+    """Return the Segment in some bytes."""
+    cookie, sequence, ack, _, flags, _, src, dport, sport, dst, size = HEADER.unpack_from(data)
+    return Segment(
+        (socket.inet_ntoa(src), sport),
+        (socket.inet_ntoa(dst), dport),
+        flags,
+        sequence,
+        ack,
+        cookie,
+        data[HEADER.size : HEADER.size + size],
+    )
+
+
+def split_target(data):
+    """Return (id of the intended upstream as a number, the packet)."""
+    return TARGET.unpack_from(data)[0], data[TARGET.size :]
+
+
+def build_request(request):
+    """Return the bytes of a request with an id."""
+    return f"GET / HTTP/1.1\r\nX-Lycheevalve-Request-Id: {request}\r\n\r\n".encode()
+
+
+def read_request(data):
+    """Return the id of the request in some bytes."""
+    return REQUEST_ID.search(data)[1].decode()
+
+
+def build_heartbeat(service, address, zone, state, sequence, born):
+    """Return the body of an upstream's heartbeat; `born` in Unix milliseconds."""
+    body = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "warmupLeftMs": 0,
+        "sequence": sequence,
+        "born": born,
+    }
+    return json.dumps(body).encode()
+
+
+def build_configuration(version, doors, unsafe_ports=()):
+    """Return the body of a configuration; `doors` is {(ip, port): service}."""
+    routes = [
+        {
+            "name": f"r-{port}",
+            "host": host,
+            "pathPrefix": f"/{port}/",
+            "routeType": "unsafe" if port in unsafe_ports else "safe",
+            "timeoutMs": 2000,
+            "service": service,
+        }
+        for (host, port), service in doors.items()
+    ]
+    names = sorted(set(doors.values()))
+    services = [{"name": name, "healthCheckPath": "/health"} for name in names]
+    value = {"version": version, "routes": routes, "services": services, "limits": {}}
+    return json.dumps(value).encode()
