--- a/lycheevalve/commands/check.py
+++ b/lycheevalve/commands/check.py
@@ -1,20 +1,34 @@
-"""`lycheevalve check`: check base and overlays, offline."""
+"""`lycheevalve check`: check settings files, offline."""
 
 from lycheevalve.commands import output
+from lycheevalve.config.files import read_toml
+from lycheevalve.config.process import load_process_settings
+from lycheevalve.config.roles import load_role
 from lycheevalve.config.site import load_site
 from lycheevalve.exceptions import LycheevalveError
 
 
 def check(base, *overlays, json=False):
     """
-    Check a base file with each of its overlays, without any instance.
+    Check a base file with each of its overlays, or the settings of one process.
 
-    Example: lycheevalve check examples/base.toml examples/lagos.toml
+    Nothing needs to run. All errors are reported together.
+
+    Examples: lycheevalve check examples/base.toml examples/lagos.toml
+              lycheevalve check examples/instance.toml
     """
     return output.call(check_all, base, overlays, json)
 
 
 def check_all(base, overlays, as_json):
+    """Check what the files are: a site's, or those of one process."""
+    if overlays:
+        check_sites(base, overlays, as_json)
+    else:
+        check_process(base, as_json)
+
+
+def check_sites(base, overlays, as_json):
     """Check all overlays and report every error of all of them."""
     errors, warnings, services = [], [], {}
     for overlay in overlays:
@@ -25,9 +39,23 @@
         else:
             warnings += files.warnings
             services[files.site.name] = [service.name for service in files.services]
-    if not overlays:
-        errors.append(LycheevalveError("name at least one overlay", "check"))
     if errors:
         raise ExceptionGroup("the settings can't be used", errors)
     text = [f"{site}: {', '.join(names)}" for site, names in services.items()]
     output.show({"sites": services, "warnings": warnings}, text + warnings, as_json)
+
+
+def check_process(path, as_json):
+    """Check the settings of one process; which kind it is shows in its keys."""
+    values = read_toml(path)
+    warnings = []
+    if "role" in values:
+        name, kind = load_role(path).name, values["role"]
+    elif "peers" in values:
+        settings, warnings = load_process_settings(path)
+        name, kind = settings.name, "instance"
+    else:
+        reason = "name an overlay beside a base file, or the settings of one process"
+        raise LycheevalveError(reason, "check", str(path))
+    data = {"name": name, "kind": kind, "warnings": warnings}
+    output.show(data, [f"{name}: {kind}", *warnings], as_json)
--- a/lycheevalve/flows/evidence.py
+++ b/lycheevalve/flows/evidence.py
@@ -67,7 +67,7 @@
         # have come at any time since the request before it.
         is_old = packet.size and not flow.opening
         note_answer(flow.upstream, flow.sent_at if is_old else now)
-        if flow.sent is not None and not flow.idle:
+        if not (is_old or flow.idle or flow.sent is None):
             flow.answer_seconds, shown = now - flow.sent_at, ANSWERED
         flow.idle = True
     flow.opening = False
--- a/lycheevalve/tests/test_silence.py
+++ b/lycheevalve/tests/test_silence.py
@@ -1,5 +1,7 @@
 """Upstreams that fall silent: how that is found, and which flows leave."""
 
+import pytest
+
 from lycheevalve.flows import evidence, steering
 from lycheevalve.flows.steering import Door
 from lycheevalve.tests.fakes.edge import (
@@ -176,6 +178,15 @@
         site.send(late, CALLER_WINDOW_BYTES, 300, 1.0)
         assert evidence.is_silent(site.silent, 1.0)
 
+    def test_time_of_an_answer_counts_only_where_it_is_known(self):
+        """An answer that the next request acknowledges came at an unknown time."""
+        site = Silence(OTHER_DOOR)
+        first, second = list(site.cookies)[:2]
+        site.send(first, 0, 300, 0.06, size=0)
+        site.send(second, CALLER_WINDOW_BYTES, 300, 9.0)
+        answers = [d["seconds"] for name, d in site.edge.events if name == "answered"]
+        assert answers == [pytest.approx(0.05)]
+
     def test_one_lost_packet_is_no_silence(self):
         site = Silence()
         site.send(site.victims[0], 0, 1, 0.5)
