Ignore SIGHUP until a starting process can handle it

Ruled out: a hang at the start (SIGTERM ended the next ones at once), a wrong settings file (it would say so). Change: SIGHUP is ignored from the first line of the program on; the settings are read after that.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -52,6 +52,7 @@
         site.founding = False
         events.add_all()
         nursery.start_soon(site.probe)
+        nursery.start_soon(site.watch, events.busy)
         with trio.fail_after(START_SECONDS):
             await operator.send_first()
             while not all(site.machines[name].ready for name in site.names("entry")):
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -21,6 +21,8 @@
 READY_PORT = 7601
 CONTROL_PORT = 7602
 PROBE_SECONDS = 0.5
+# The platform starts a process that ended after a short delay.
+WATCH_SECONDS = 0.3
 STOP_SECONDS = 8.0
 
 
@@ -141,6 +143,16 @@
             if machine.process is not None:
                 machine.process.wait()
 
+    async def watch(self, busy):
+        """Start what ended by itself again, and count that as a broken promise."""
+        while True:
+            for name, machine in self.machines.items():
+                if name not in busy and machine.process.poll() is not None:
+                    self.break_promise(f"{name} ended with {machine.process.returncode}")
+                    self.note_fault()
+                    self.start(name)
+            await trio.sleep(WATCH_SECONDS)
+
     # The fabric.
 
     async def probe(self):
--- a/lycheevalve/platform/__main__.py
+++ b/lycheevalve/platform/__main__.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 import socket
 import sys
 import tomllib
@@ -30,6 +31,8 @@
 
 def main(arguments):
     """Run one process; return its exit code."""
+    # Until there is a handler it would end the process; the settings are read below.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
     early_socket = bind_early(path)
     # Only now: the imports take most of the start.
