Let the soak's draining upstreams close their flows, as the platform's do

The platform's targets close each flow after its next answer while they drain and stay for that; the stand-in does so now, and callers take it as the end of the flow. Its promise is as strict as before.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -26,6 +26,10 @@
     """A flow that did not open, or a request without an answer; says how."""
 
 
+class FlowClosed(Exception):
+    """The upstream closed a flow between two requests."""
+
+
 @attrs.define(eq=False)
 class Flow:
     """The caller's end of one flow."""
@@ -76,6 +80,7 @@
 
     async def ask(self, request):
         """Send a request and return its answer; raise FlowError."""
+        await self.check_open()
         data, begin = build_request(request), self.sequence
         self.sequence += len(data)
         for seconds in REPEAT_TIMES:
@@ -89,6 +94,13 @@
                         return answer
         raise FlowError("no answer")
 
+    async def check_open(self):
+        """Raise FlowClosed when the upstream has closed the flow."""
+        while self.arrivals.statistics().current_buffer_used:
+            segment = await self.receive(0.0)
+            if segment is not None and segment.flags & FIN:
+                raise FlowClosed
+
     async def take(self, segment):
         """Acknowledge data; return it when it is new."""
         is_new = segment.sequence == self.acknowledged
@@ -153,6 +165,8 @@
             for _ in range(requests):
                 await self.ask(flow, door)
                 await trio.sleep(self.random.uniform(0.2, 1.0) * pause)
+        except FlowClosed:
+            return
         except FlowError as error:
             self.site.note_failure(self, flow, str(error), is_open)
         finally:
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -28,6 +28,8 @@
 REPEAT_SECONDS = (0.2, 0.4, 0.8, 1.6)
 # After its farewell is acknowledged an upstream goes on for this long.
 DRAIN_SECONDS = 3.0
+# It waits for its flows for this long at most; the soak's sessions are shorter.
+FLOW_SECONDS = 20.0
 MAX_DATAGRAM_BYTES = 2048
 
 
@@ -91,6 +93,9 @@
         if await self.beat():
             self.drained_at = trio.current_time()
         await trio.sleep(DRAIN_SECONDS + 1.0)
+        with trio.move_on_after(FLOW_SECONDS):
+            while self.flows:
+                await trio.sleep(0.1)
         await self.tell_control(FAREWELL_PATH + self.name, b"")
         self.scope.cancel()
 
@@ -182,7 +187,11 @@
             await self.send(segment, ACK, start, flow.expected, answer)
             await trio.sleep(pause)
             if flow.answered >= end:
-                return
+                break
+        if self.state == "draining" and flow.following == end:
+            # A draining upstream closes a flow after its answer.
+            await self.send(segment, FIN | ACK, end, flow.expected)
+            self.flows.pop((segment.sender, segment.receiver), None)
 
     async def send(self, segment, flags, sequence, acknowledged, data=b""):
         """Send a segment to the caller, past the entry instances."""
