--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -58,13 +58,16 @@
     async def receive(self, seconds):
         """Return the next segment, or None in time; raise FlowError for a reset."""
         with trio.move_on_after(seconds):
-            segment = await self.arrivals.receive()
-            if segment.flags & RST:
-                raise FlowError("reset")
-            self.cookie = segment.cookie
-            return segment
+            return self.note(await self.arrivals.receive())
         return None
 
+    def note(self, segment):
+        """Return a segment that has arrived; raise FlowError for a reset."""
+        if segment.flags & RST:
+            raise FlowError("reset")
+        self.cookie = segment.cookie
+        return segment
+
     async def open(self):
         """Open the flow; raise FlowError."""
         for copy, seconds in enumerate(SYN_TIMES):
@@ -80,7 +83,7 @@
 
     async def ask(self, request):
         """Send a request and return its answer; raise FlowError."""
-        await self.check_open()
+        self.check_open()
         data, begin = build_request(request), self.sequence
         self.sequence += len(data)
         for seconds in REPEAT_TIMES:
@@ -94,11 +97,14 @@
                         return answer
         raise FlowError("no answer")
 
-    async def check_open(self):
+    def check_open(self):
         """Raise FlowClosed when the upstream has closed the flow."""
-        while self.arrivals.statistics().current_buffer_used:
-            segment = await self.receive(0.0)
-            if segment is not None and segment.flags & FIN:
+        while True:
+            try:
+                segment = self.note(self.arrivals.receive_nowait())
+            except trio.WouldBlock:
+                return
+            if segment.flags & FIN:
                 raise FlowClosed
 
     async def take(self, segment):
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -183,15 +183,15 @@
         answer = f"HTTP/1.1 200 OK\r\n\r\n{self.service} {request}".encode()
         start = flow.following
         end = flow.following = start + len(answer)
+        # A draining upstream closes a flow with its next answer.
+        closes = self.state == "draining"
         for pause in REPEAT_SECONDS:
             await self.send(segment, ACK, start, flow.expected, answer)
+            if closes:
+                await self.send(segment, FIN | ACK, end, flow.expected)
             await trio.sleep(pause)
             if flow.answered >= end:
-                break
-        if self.state == "draining" and flow.following == end:
-            # A draining upstream closes a flow after its answer.
-            await self.send(segment, FIN | ACK, end, flow.expected)
-            self.flows.pop((segment.sender, segment.receiver), None)
+                return
 
     async def send(self, segment, flags, sequence, acknowledged, data=b""):
         """Send a segment to the caller, past the entry instances."""
