--- /dev/null
+++ b/bench/mutations/coordination.py
@@ -0,0 +1,171 @@
+"""Mechanisms of the log, spreading, membership and feeds."""
+
+from bench.mutations import Mutant
+
+CONSENSUS = "test_consensus.py"
+DOCUMENTS = "test_documents.py"
+LEADERSHIP = "test_leadership.py"
+SPREADING = "test_spreading.py"
+COORDINATION = (
+    Mutant(
+        "lost disk counts at once",
+        "coordination/recovery.py",
+        "    if not message.empty:\n        start_recovering(replica)\n        return",
+        "    if not message.empty:\n        start_full(replica, now)\n        return",
+        f"{CONSENSUS}::TestLostDisks",
+    ),
+    Mutant(
+        "readmitted without holding what was accepted",
+        "coordination/recovery.py",
+        "if not progress.recovering or progress.match < progress.target:",
+        "if not progress.recovering:",
+        f"{CONSENSUS}::TestLostDisks",
+    ),
+    Mutant(
+        "no check of the base revision",
+        "coordination/configuration.py",
+        "if change.base_revision != revision and not change.ignore_base:",
+        "if False:",
+        f"{CONSENSUS}::TestOperators",
+    ),
+    Mutant(
+        "answers are not remembered",
+        "coordination/configuration.py",
+        "        self.remember(self.results, change.change_id, result)",
+        "",
+        f"{CONSENSUS}::TestAcceptedConfiguration",
+    ),
+    Mutant(
+        "answers are not in snapshots",
+        "coordination/replication.py",
+        "results=list(machine.results.values()),",
+        "results=[],",
+        f"{CONSENSUS}::TestOperators",
+    ),
+    Mutant(
+        "no lease of the leader",
+        "coordination/replica.py",
+        "now - p.acked_at < LEASE_SECONDS",
+        "True",
+        f"{CONSENSUS}::TestIsolatedLeader",
+    ),
+    Mutant(
+        "votes are not stored",
+        "coordination/elections.py",
+        "        replica.hard.voted_for = sender\n        replica.save_hard_state()",
+        "        replica.hard.voted_for = sender",
+        f"{CONSENSUS}::TestVotes",
+    ),
+    Mutant(
+        "damage is read as a cut tail",
+        "coordination/storage.py",
+        'raise StorageError(f"damaged record at byte {offset} of {name}", "read log")',
+        "break",
+        "test_storage.py::TestDamage",
+    ),
+    Mutant(
+        "a cut tail is not dropped",
+        "coordination/storage.py",
+        "            os.truncate(log_path, used)",
+        "            pass",
+        "test_storage.py::TestTail",
+    ),
+    Mutant(
+        "no sync before the answer",
+        "coordination/storage.py",
+        "    sync(file.fileno())",
+        "    pass",
+        "test_storage.py::TestFailingDisk",
+    ),
+    Mutant(
+        "a revision is applied when it is held",
+        "coordination/spreading.py",
+        "        if backed or not neighbours:",
+        "        if True:",
+        f"{SPREADING}::TestRestartWithoutDisk",
+    ),
+    Mutant(
+        "an instance serves before it has asked",
+        "coordination/spreading.py",
+        "        if not self.ready or self.held.revision <= self.applied.revision:",
+        "        if self.held.revision <= self.applied.revision:",
+        f"{SPREADING}::TestRestartWithoutDisk",
+    ),
+    Mutant(
+        "lower revisions are taken",
+        "coordination/spreading.py",
+        "            if message.configuration.revision > self.held.revision:",
+        "            if True:",
+        f"{SPREADING}::TestLateNews",
+    ),
+    Mutant(
+        "whole configurations: content under a held number is taken",
+        "coordination/configuration.py",
+        "accepted = change.target_revision > self.configuration.revision",
+        "accepted = change.target_revision >= self.configuration.revision",
+        f"{DOCUMENTS}::TestNumbers",
+    ),
+    Mutant(
+        "whole configurations: lower numbers are taken",
+        "coordination/configuration.py",
+        "accepted = change.target_revision > self.configuration.revision",
+        "accepted = True",
+        f"{DOCUMENTS}::TestAcceptedDocuments",
+    ),
+    Mutant(
+        "whole configurations: reads need no round",
+        "coordination/reads.py",
+        "return replica.is_quorum(sum(acked >= number for acked in rounds))",
+        "return True",
+        f"{DOCUMENTS}::TestReads",
+    ),
+    Mutant(
+        "whole configurations: learners count",
+        "coordination/replica.py",
+        "            if name in self.members and not progress.recovering",
+        "            if not progress.recovering",
+        f"{LEADERSHIP}::TestLearners",
+    ),
+    Mutant(
+        "whole configurations: nobody is replaced",
+        "coordination/replacement.py",
+        "if not can_propose(replica, now):",
+        "if True:",
+        f"{LEADERSHIP}::TestReplacement",
+    ),
+    Mutant(
+        "whole configurations: a freeze is not noted",
+        "coordination/consensus.py",
+        "    replica.trusted_from = now + BACKLOG_SECONDS\n",
+        "",
+        f"{DOCUMENTS}::TestThaw",
+    ),
+    Mutant(
+        "feeds: farewells are acknowledged at once",
+        "control.py",
+        "if is_news and (registration.draining or registration.leaving):",
+        "if False:",
+        "test_feeds.py::TestUpstreams",
+    ),
+    Mutant(
+        "feeds: a start waits for nobody",
+        "coordination/spreading.py",
+        "START_SECONDS = 2.0",
+        "START_SECONDS = 0.0",
+        "test_feeds.py::TestSettings",
+    ),
+    Mutant(
+        "cuts: leases run out without control",
+        "coordination/subscriptions.py",
+        "return max(heard_at, now - BLIND_SECONDS)",
+        "return now",
+        "test_feeds.py::TestUpstreams",
+    ),
+    Mutant(
+        "recovery: commits are told with heartbeats",
+        "coordination/replication.py",
+        "            replica.heartbeat_at = now\n",
+        "            pass\n",
+        f"{LEADERSHIP}::TestCommit",
+    ),
+)
