Log datagrams that are no packet, within a bound

They were counted only: an error without a line. The event bad_packet names the reason, five lines a second at most. A test that failed before.

--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -77,7 +77,7 @@
             try:
                 packet = self.codec.read_packet(data)
             except DatagramError as error:
-                self.decisions.count("bad_packets", error=str(error))
+                self.decisions.count("bad_packet", error=error.reason)
                 continue
             self.decisions.steering.handle(packet, now)
 
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -17,6 +17,8 @@
 SUCCESSES_PER_SECOND = 40
 FAILURES_PER_SECOND = 60
 CHANGES_PER_SECOND = 40
+# Enough to see what it is; whoever sends it sends more of it.
+BAD_INPUT_PER_SECOND = 5
 
 
 @attrs.frozen(eq=False)
@@ -167,6 +169,13 @@
     Event("queue_full", WARNING, "A message was dropped.", {"peer": str}),
     Event("link_closed", WARNING, "A link ended for bad input.", {"peer": str, "reason": str}),
     Event("link_failed", DEBUG, "A link ended.", {"peer": str, "reason": str}),
+    Event(
+        "bad_packet",
+        INFO,
+        "A datagram that is no packet was dropped.",
+        {"error": str},
+        BAD_INPUT_PER_SECOND,
+    ),
     Event("bad_call", INFO, "An HTTP request could not be read.", {"reason": str}),
 )
 
--- a/lycheevalve/tests/test_logs.py
+++ b/lycheevalve/tests/test_logs.py
@@ -8,11 +8,17 @@
 
 import loguru
 import pytest
+import trio
 
 import lycheevalve
+from lycheevalve.daemon import roles
+from lycheevalve.daemon.entry import EntryProcess
+from lycheevalve.daemon.events import Batch
+from lycheevalve.exceptions import DatagramError
 from lycheevalve.logs import queue, schema
 from lycheevalve.logs.queue import LogQueue, Output, Writer
 from lycheevalve.logs.schema import EVENTS, find_mistakes
+from lycheevalve.schema.generated.settings import Role
 
 PACKAGE = Path(lycheevalve.__file__).parent
 PIPE_BYTES = 65_536
@@ -50,6 +56,36 @@
         assert find_mistakes("nonsense", {})
 
 
+class Codec:
+    """A codec that reads nothing."""
+
+    @staticmethod
+    def read_packet(data):
+        """Refuse any datagram."""
+        raise DatagramError("3 bytes are no packet", "read packet")
+
+    read_doors = None
+
+
+class TestEntry:
+    """What an entry instance records."""
+
+    def test_bad_packet_is_counted_and_logged_with_its_reason(self, monkeypatch):
+        logs, _ = build_queue()
+        monkeypatch.setattr(roles, "record", logs.record)
+
+        async def take_batch():
+            settings = Role(ip="127.0.0.1", link_port=7600, name="a1", data_centre="dc1")
+            process = EntryProcess(settings, Codec())
+            await process.handle_batch(Batch([(b"abc", ("127.0.0.1", 1))]))
+            return process.decisions.counters
+
+        counters = trio.run(take_batch)
+        assert counters == {("bad_packet", ""): 1}
+        ((_, event, fields),) = logs.take()
+        assert (event.name, fields) == ("bad_packet", {"error": "3 bytes are no packet"})
+
+
 class Clock:
     """A clock that a test sets."""
 
