--- a/bench/steered.py
+++ b/bench/steered.py
@@ -12,9 +12,9 @@
 
 from lycheevalve.config.roles import ENTRY
 from lycheevalve.daemon.entry import EntryProcess
-from lycheevalve.daemon.logs import set_up_logs
 from lycheevalve.flows.cookies import build_cookie
 from lycheevalve.flows.steering import Door
+from lycheevalve.logs.queue import set_up_logs
 from lycheevalve.platform.codec import Codec
 from lycheevalve.platform.packets import ACK, HEADER, NO_PAD
 from lycheevalve.schema.generated.messages import Registration
