--- a/lycheevalve/tests/test_soak.py
+++ b/lycheevalve/tests/test_soak.py
@@ -1,12 +1,15 @@
 """A short seeded soak of the real processes; its bounds of time are not checked here."""
 
 import json
+import os
 import subprocess
 import sys
 
 import pytest
 
 NEVER_SECONDS = 1_000_000
+# Runs beside each other on one machine must not share addresses.
+FIRST_NETWORK, NETWORKS = 2, 248
 
 
 class TestSoak:
@@ -22,6 +25,7 @@
                 f"--seed={seed}",
                 "--minutes=0.15",
                 f"--calm-seconds={NEVER_SECONDS}",
+                f"--network={FIRST_NETWORK + os.getpid() % NETWORKS}",
             ],
             capture_output=True,
             text=True,
