Send entry instances changes only, from two control replicas

Cause: every entry instance polled every control replica (194 x 6 connections on the large site), and each lease renewal of each upstream was sent to every instance by every replica, so that control cost instances x replicas x upstreams. Every event at a replica checked all pending polls and walked all subscribers.

Ruled out: relays among entry instances (they share no state that needs them, and their links are narrow); digests to all replicas (still a poll for each).

Change: an entry instance polls two replicas, one of its own data centre and one by rendezvous hashing, and all of them while one of the two fails or is not current. It receives changes only: a lease holds until a source reports its expiry, which is now published. Replicas pass committed configurations on to each other. Pending polls are checked when something changed; polls from the same version share one answer. A replica that is cut off from most others applies a drain but answers 503, as instances of other replicas would still send new flows. Old and new processes work beside each other: a poll says whether it wants changes only, an answer whether it lists them.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -3,9 +3,11 @@
 
 The logic does no I/O and reads no clock. Upstreams announce themselves to any
 control replica. The replicas subscribe to each other, so that each publishes all
-upstreams to its subscribers.
+upstreams, and the newest configuration that any of them holds, to its subscribers.
 """
 
+import collections
+
 import attrs
 
 from lycheevalve.coordination.dissemination import Dissemination
@@ -17,6 +19,7 @@
 from lycheevalve.utils.addresses import parse_address
 
 TICK_INTERVAL_SECONDS = 0.05
+EXPIRY_INTERVAL_SECONDS = 0.25
 EVICTION_INTERVAL_SECONDS = 1.0
 # A drain or deregistration is acknowledged when all subscribers have received it, or
 # after this time, since it must be answered within a second.
@@ -55,7 +58,10 @@
     observe: object = ignore
     messages: list = attrs.field(factory=list)
     answers: list = attrs.field(factory=list)
-    pending_polls: list = attrs.field(factory=list)
+    # In the order of their deadlines.
+    pending_polls: collections.deque = attrs.field(factory=collections.deque)
+    # The latest urgent update and revision that the pending polls were checked for.
+    checked_update: tuple = (0, 0)
     pending_deregistrations: list = attrs.field(factory=list)
     # Set by the owner from its replica of the log: whether that is current, and its members.
     current: bool = False
@@ -68,7 +74,7 @@
             self.address, self.data_centre, True, self.incarnation
         )
         self.dissemination = Dissemination(
-            send=self.send,
+            send=self.send_fetch,
             neighbours=list,
             others=list,
             apply=lambda configuration, now: self.observe(
@@ -82,6 +88,7 @@
             self.incarnation, self.upstreams, self.dissemination, self.now, self.data_centre
         )
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.answer_pending, self.now)
+        self.timers.subscribe(EXPIRY_INTERVAL_SECONDS, self.feed.publish_expired, self.now)
         self.timers.subscribe(EVICTION_INTERVAL_SECONDS, self.evict_expired, self.now)
 
     def run_timers(self, now):
@@ -92,8 +99,9 @@
     def evict_expired(self, now):
         """Evict expired upstreams, subscribers and sources."""
         self.upstreams.evict_expired(now)
-        self.feed.evict_subscribers(now)
+        self.feed.evict_expired(now)
         self.subscriptions.evict_lost(now)
+        self.subscriptions.choose_active(now)
 
     # Upstreams.
 
@@ -113,10 +121,15 @@
         Handle an upstream's announcement.
 
         A drain or deregistration is acknowledged when all subscribers have received
-        it, any other announcement at once.
+        it, any other announcement at once. It is applied but not acknowledged while
+        this replica is cut off from the others: their subscribers would still send
+        new flows, so the upstream has to announce it to another replica.
         """
         is_update = self.apply_registration(registration, now)
-        if is_update and (registration.draining or registration.leaving):
+        is_end = registration.draining or registration.leaving
+        if is_end and not self.subscriptions.reaches_most(now):
+            self.answers.append((reply, False))
+        elif is_update and is_end:
             deadline = now + DEREGISTRATION_ACK_TIMEOUT_SECONDS
             self.pending_deregistrations.append(
                 PendingReply(reply, deadline, version=self.feed.version)
@@ -150,21 +163,28 @@
         self.now = now
         self.feed.record_poll(poll, now)
         if poll.is_control:
-            self.subscriptions.add_sources([poll.address], now)
-        self.pending_polls.append(PendingReply(reply, now + LONG_POLL_SECONDS, poll))
+            self.subscriptions.add_sources([poll.address], now, [poll.data_centre])
+            self.subscriptions.choose_active(now)
+        entry = PendingReply(reply, now + LONG_POLL_SECONDS, poll)
+        if self.feed.has_updates(poll):
+            self.answer_poll(entry, now)
+        else:
+            self.pending_polls.append(entry)
         self.answer_pending(now)
 
     def answer_pending(self, now):
         """Answer the pending requests that are complete or past their deadline."""
-        pending, self.pending_polls = self.pending_polls, []
-        for entry in pending:
-            if now >= entry.deadline or self.feed.has_updates(entry.poll):
-                news = self.feed.build_news(
-                    entry.poll, self.current, self.control_addresses(now), now
-                )
-                self.answers.append((entry.reply, news))
-            else:
-                self.pending_polls.append(entry)
+        update = (self.feed.urgent_version, self.dissemination.held.revision)
+        if update != self.checked_update:
+            self.checked_update = update
+            pending, self.pending_polls = self.pending_polls, collections.deque()
+            for entry in pending:
+                if self.feed.has_updates(entry.poll):
+                    self.answer_poll(entry, now)
+                else:
+                    self.pending_polls.append(entry)
+        while self.pending_polls and now >= self.pending_polls[0].deadline:
+            self.answer_poll(self.pending_polls.popleft(), now)
         pending, self.pending_deregistrations = self.pending_deregistrations, []
         for entry in pending:
             if now >= entry.deadline or self.feed.is_acknowledged(entry.version, now):
@@ -172,15 +192,28 @@
             else:
                 self.pending_deregistrations.append(entry)
 
-    def control_addresses(self, now):
-        """Return the addresses of this replica, the ones in contact and the log's members."""
-        polling = [s.address for s in self.feed.live_subscribers(now) if s.is_control]
-        names = {self.address, *polling, *self.subscriptions.in_contact(now), *self.members}
-        return sorted(names)
+    def answer_poll(self, entry, now):
+        """Answer a pending poll with the updates since the version that it carries."""
+        news = self.feed.build_news(entry.poll, self.current, self.find_controls(now), now)
+        self.answers.append((entry.reply, news))
+
+    def find_controls(self, now):
+        """
+        Return this replica, the ones in contact and the log's members.
+
+        The result has the data centre, or "" if unknown, by the address.
+        """
+        found = {}
+        for address in sorted({self.address, *self.learners(now), *self.members}):
+            source = self.subscriptions.sources.get(address)
+            subscriber = self.feed.subscribers.get(address)
+            known = source.data_centre if source else ""
+            found[address] = known or (subscriber.data_centre if subscriber else "")
+        return found | {self.address: self.data_centre}
 
     def learners(self, now):
         """Return the other control replicas in contact, members of the log or not."""
-        polling = [s.address for s in self.feed.live_subscribers(now) if s.is_control]
+        polling = self.feed.live_controls(now)
         return {*polling, *self.subscriptions.in_contact(now)} - {self.address}
 
     # Messages.
@@ -189,6 +222,11 @@
         """Queue a message to another control replica."""
         self.messages.append((name, message))
 
+    def send_fetch(self, name, message):
+        """Queue a request for settings; other messages are omitted, as polls carry digests."""
+        if isinstance(message, messages.Fetch):
+            self.send(name, message)
+
     def start_polling(self, address, now):
         """Start polling a control replica after its connection opened."""
         if address in self.subscriptions.sources:
@@ -201,11 +239,19 @@
             return
         if isinstance(message, messages.News):
             self.subscriptions.handle_news(sender, message, now)
+            self.subscriptions.choose_active(now)
             for registration in message.registrations:
                 self.apply_registration(registration, now, sender)
             self.feed.settled = self.feed.settled or message.settled
+            self.dissemination.update_peer(
+                sender, message.applied, message.held, now, message.current
+            )
+        elif isinstance(message, messages.Fetched):
+            self.dissemination.handle_fetched(sender, message, now)
         self.answer_pending(now)
-        self.send(sender, self.subscriptions.build_poll(sender, self.dissemination))
+        if all(name != sender for name, _ in self.messages):
+            # While a fetch is queued, the next poll follows the answer to it.
+            self.send(sender, self.subscriptions.build_poll(sender, self.dissemination))
 
     def handle_commit(self, configuration, changes, now):
         """Handle a configuration that the replica of the log has committed."""
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -4,13 +4,18 @@
 Subscribers use long polls: a poll is answered at once if there is an urgent
 update, otherwise after LONG_POLL_SECONDS. Each update gets a version, and a poll
 carries the last version received, so that no update is lost or repeated between
-polls. A new, draining or leaving upstream and a new configuration are urgent; a
-lease renewal is sent with the next answer.
+polls. A new, draining, leaving or expired upstream and a new configuration are
+urgent. Lease renewals go to the other control replicas only, with the next answer:
+for a subscriber of changes a lease holds until the feed reports its expiry, so that
+the work for a subscriber grows with changes, not with the number of upstreams.
 """
 
+import collections
+
 import attrs
 
 from lycheevalve.schema.generated.messages import News
+from lycheevalve.utils.addresses import parse_address
 
 # A poll without urgent updates is answered after this time.
 LONG_POLL_SECONDS = 0.5
@@ -20,6 +25,8 @@
 RENEWAL_SHARE = 1 / 3
 # After this time every healthy upstream has announced itself, so the table is complete.
 SETTLE_SECONDS = 1.5
+# Polls from the same version share one answer for this long; its lease times age meanwhile.
+ANSWER_REUSE_SECONDS = 0.1
 
 
 @attrs.define
@@ -53,30 +60,55 @@
     version: int = 0
     # The version of the latest urgent update.
     urgent_version: int = 0
-    # By the upstream's address: version of its last update, and end of the lease in it.
-    versions: dict[str, int] = attrs.field(factory=dict)
+    # Version of the last update and of the last urgent one by the upstream's address, in
+    # the order of versions.
+    versions: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    urgent_versions: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    # By address: end of the lease in the last update; the expired ones that were published.
     published_until: dict[str, float] = attrs.field(factory=dict)
+    expired: set[str] = attrs.field(factory=set)
     subscribers: dict[str, Subscriber] = attrs.field(factory=dict)
+    # The addresses of the subscribers that are control replicas.
+    control_addresses: set[str] = attrs.field(factory=set)
     settled: bool = False
+    # The last answers, by what they depend on, and when the first of them was built.
+    answers: dict[tuple, News] = attrs.field(factory=dict)
+    answers_since: float = float("-inf")
 
     def publish(self, registration, previous, now):
         """Publish a registration; `previous` is the one that it replaced, or None."""
         address = registration.address
         until = now + registration.lifetime_ms / 1000
-        if not is_renewal(registration, previous):
+        if address in self.expired or not is_renewal(registration, previous):
+            self.expired.discard(address)
             self.assign_version(address, until)
-            self.urgent_version = self.version
+            self.assign_urgent_version(address)
         elif until - self.published_until.get(address, 0.0) > (
             registration.lifetime_ms / 1000 * RENEWAL_SHARE
         ):
             self.assign_version(address, until)
 
+    def publish_expired(self, now):
+        """Publish the upstreams whose leases have expired."""
+        for upstream in self.upstreams.by_address.values():
+            address = upstream.registration.address
+            if upstream.expires_at <= now and address not in self.expired:
+                self.expired.add(address)
+                self.version += 1
+                self.assign_urgent_version(address)
+
     def assign_version(self, address, until):
         """Assign the next version to an upstream's registration."""
         self.version += 1
         self.versions[address] = self.version
+        self.versions.move_to_end(address)
         self.published_until[address] = until
 
+    def assign_urgent_version(self, address):
+        """Make the latest update an urgent one about an upstream."""
+        self.urgent_version = self.urgent_versions[address] = self.version
+        self.urgent_versions.move_to_end(address)
+
     def record_poll(self, poll, now):
         """Update a subscriber from its poll; return the version that it has received."""
         version = poll.version if poll.feed == self.number else 0
@@ -89,23 +121,30 @@
             now,
             poll.applied,
         )
+        if poll.is_control:
+            self.control_addresses.add(poll.address)
         return version
 
     def live_subscribers(self, now):
         """Return the subscribers that polled recently."""
-        return [
-            subscriber
-            for subscriber in self.subscribers.values()
-            if now - subscriber.polled_at < SUBSCRIBER_TIMEOUT_SECONDS
-        ]
-
-    def evict_subscribers(self, now):
-        """Evict the subscribers that have not polled for ten times the timeout."""
+        return [s for s in self.subscribers.values() if is_live(s, now)]
+
+    def live_controls(self, now):
+        """Return the addresses of the control replicas that polled recently."""
+        return [a for a in self.control_addresses if is_live(self.subscribers[a], now)]
+
+    def evict_expired(self, now):
+        """Evict subscribers that stopped polling, and updates about evicted upstreams."""
         self.subscribers = {
             address: subscriber
             for address, subscriber in self.subscribers.items()
             if now - subscriber.polled_at < 10 * SUBSCRIBER_TIMEOUT_SECONDS
         }
+        self.control_addresses &= self.subscribers.keys()
+        for address in [a for a in self.expired if not self.find_registration(a)]:
+            self.expired.discard(address)
+            for updates in (self.versions, self.urgent_versions, self.published_until):
+                updates.pop(address, None)
 
     def has_updates(self, poll):
         """Return whether there is an urgent update, so that a poll is answered at once."""
@@ -123,20 +162,61 @@
         return self.settled
 
     def build_news(self, poll, current, controls, now):
-        """Return the News that answers a poll."""
+        """
+        Return the News that answers a poll; polls from the same version may share it.
+
+        `controls` has the data centre of each control replica by its address.
+        """
+        if now - self.answers_since > ANSWER_REUSE_SECONDS:
+            self.answers, self.answers_since = {}, now
         version = poll.version if poll.feed == self.number else 0
-        addresses = {a for a, assigned in self.versions.items() if assigned > version}
-        return News(
-            applied=self.dissemination.applied.revision,
-            held=self.dissemination.held.revision,
-            current=current,
-            feed=self.number,
-            version=self.version,
-            registrations=self.upstreams.live_leases(now, addresses),
-            controls=controls,
-            settled=self.is_settled(now),
-            data_centre=self.data_centre,
-        )
+        held, applied = self.dissemination.held.revision, self.dissemination.applied.revision
+        settled = self.is_settled(now)
+        key = (version, self.version, poll.changes_only, current, held, applied, settled)
+        key = (*key, tuple(controls))
+        if key not in self.answers:
+            self.answers[key] = News(
+                applied=applied,
+                held=held,
+                current=current,
+                feed=self.number,
+                version=self.version,
+                registrations=self.list_updates(version, poll.changes_only, now),
+                controls=list(controls),
+                control_data_centres=list(controls.values()),
+                settled=settled,
+                data_centre=self.data_centre,
+                changes_only=poll.changes_only,
+            )
+        return self.answers[key]
+
+    def list_updates(self, version, changes_only, now):
+        """Return the registrations published after a version, expired ones if it is known."""
+        versions = self.urgent_versions if changes_only else self.versions
+        addresses = []
+        for address in reversed(versions):
+            if versions[address] <= version:
+                break
+            addresses.append(address)
+        updates = self.upstreams.live_leases(now, addresses)
+        if changes_only and version:
+            updates += [
+                attrs.evolve(registration, lifetime_ms=0)
+                for address in addresses
+                if address in self.expired
+                and (registration := self.find_registration(address)) is not None
+            ]
+        return updates
+
+    def find_registration(self, address):
+        """Return the newest registration at an address, or None."""
+        upstream = self.upstreams.by_address.get(parse_address(address))
+        return upstream.registration if upstream is not None else None
+
+
+def is_live(subscriber, now):
+    """Return whether a subscriber polled recently."""
+    return now - subscriber.polled_at < SUBSCRIBER_TIMEOUT_SECONDS
 
 
 def is_renewal(registration, previous):
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -242,12 +242,18 @@
             return None
 
     async def announce(self, registration):
-        """Handle an upstream's announcement; return when it may be acknowledged."""
-        return await self.ask(self.inbox, Announcement, registration)
+        """Handle an upstream's announcement; raise UnavailableError if not acknowledged."""
+        await self.ask_acknowledgement(Announcement, registration)
 
     async def deregister(self, name):
-        """Handle an upstream's deregistration; return when it may be acknowledged."""
-        return await self.ask(self.inbox, Deregistration, name)
+        """Handle an upstream's deregistration; raise UnavailableError if not acknowledged."""
+        await self.ask_acknowledgement(Deregistration, name)
+
+    async def ask_acknowledgement(self, event, *details):
+        """Wait until an upstream's call is acknowledged; raise UnavailableError if it is not."""
+        if not await self.ask(self.inbox, event, *details):
+            reason = "this replica is cut off from the other control replicas"
+            raise UnavailableError(reason, "acknowledge", self.address)
 
     # Events.
 
--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -116,7 +116,7 @@
 
     def flush(self):
         """Update the polling connections and send the queued messages."""
-        self.connections.set_addresses(list(self.logic.subscriptions.sources))
+        self.connections.set_addresses(self.logic.subscriptions.active())
         queued, self.logic.messages = self.logic.messages, []
         for address, message in queued:
             self.connections.send(address, message)
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -6,11 +6,13 @@
 sends what is queued in `messages`, and provides the functions that send packets.
 """
 
+import math
+
 import attrs
 
 from lycheevalve.coordination.dissemination import Dissemination
 from lycheevalve.coordination.feeds import is_renewal
-from lycheevalve.coordination.subscriptions import Subscriptions
+from lycheevalve.coordination.subscriptions import LEASE_EXTENSION_SECONDS, Subscriptions
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.flows.cookie_routing import CookieRouter
 from lycheevalve.flows.isolation import has_local_capacity, reaches_other_data_centres
@@ -19,7 +21,8 @@
 from lycheevalve.schema.generated import messages
 from lycheevalve.utils.addresses import parse_address
 
-TICK_INTERVAL_SECONDS = 0.05
+TICK_INTERVAL_SECONDS = 0.1
+SOURCES_INTERVAL_SECONDS = 0.25
 DISSEMINATION_INTERVAL_SECONDS = 0.25
 EVICTION_INTERVAL_SECONDS = 1.0
 
@@ -49,6 +52,8 @@
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
+    # The sources that the leases of upstreams were last checked with.
+    lease_sources: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
         self.timers = Timers()
@@ -70,13 +75,14 @@
         self.dissemination = Dissemination(
             send=self.send_fetch,
             neighbours=lambda: list(self.subscriptions.sources),
-            others=lambda: list(self.subscriptions.sources),
+            others=self.list_peers,
             apply=self.apply_configuration,
             random=self.random,
             started_at=self.now,
         )
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.cookie_router.tick, self.now)
         self.timers.subscribe(DISSEMINATION_INTERVAL_SECONDS, self.dissemination.tick, self.now)
+        self.timers.subscribe(SOURCES_INTERVAL_SECONDS, self.update_sources, self.now)
         self.timers.subscribe(EVICTION_INTERVAL_SECONDS, self.evict_expired, self.now)
 
     def run_timers(self, now):
@@ -89,6 +95,20 @@
         self.cookie_router.evict_expired(now)
         self.subscriptions.evict_lost(now)
 
+    def list_peers(self):
+        """Return the control replicas to wait for at the start, then those to fetch from."""
+        if self.dissemination.ready:
+            return self.subscriptions.active()
+        return list(self.subscriptions.sources)
+
+    def update_sources(self, now):
+        """Choose the control replicas to poll; check all leases when those have changed."""
+        self.subscriptions.choose_active(now, started=self.dissemination.ready)
+        lease_sources = self.subscriptions.lease_sources(now)
+        if lease_sources != self.lease_sources or not lease_sources:
+            self.lease_sources = lease_sources
+            self.update_leases(self.upstreams.by_address.values(), now)
+
     # Readiness.
 
     def is_synced(self, now):
@@ -140,7 +160,7 @@
 
     def start_polling(self, address, now):
         """Start polling a control replica after its connection opened."""
-        if address in self.subscriptions.sources:
+        if address in self.subscriptions.active():
             self.subscriptions.sources[address].poll_pending = False
             self.poll(address)
 
@@ -152,7 +172,7 @@
     def handle_message(self, sender, message, now):
         """Handle a control replica's response."""
         self.now = now
-        if sender not in self.subscriptions.sources:
+        if sender not in self.subscriptions.active():
             return
         if isinstance(message, messages.News):
             self.handle_updates(sender, message, now)
@@ -167,12 +187,39 @@
         self.subscriptions.handle_news(sender, update, now)
         self.cookie_router.settings_unconfirmed = False
         for registration in update.registrations:
-            self.update_upstream(registration, sender, now)
+            # A registration with an expired lease is older than the one before.
+            if registration.lifetime_ms > 0:
+                self.update_upstream(registration, sender, now)
+        self.update_sources(now)
+        addresses = [parse_address(r.address) for r in update.registrations]
+        known = [self.upstreams.by_address.get(address) for address in addresses]
+        self.update_leases([upstream for upstream in known if upstream is not None], now)
         self.dissemination.update_peer(sender, update.applied, update.held, now, update.current)
         if not self.dissemination.ready:
             self.dissemination.tick(now)
-        if update.registrations:
-            self.cookie_router.retry_held(now)
+        self.cookie_router.retry_held(now)
+
+    def update_leases(self, upstreams, now):
+        """
+        Set whether the leases of upstreams hold, as the sources report it.
+
+        Without such a source a lease holds, for at most LEASE_EXTENSION_SECONDS; one
+        that is renewed by registrations ends with its lifetime.
+        """
+        sources = self.lease_sources
+        if sources:
+            for upstream in upstreams:
+                if self.subscriptions.is_leased(upstream.registration, sources):
+                    upstream.expires_at = math.inf
+                elif upstream.expires_at == math.inf:
+                    upstream.expires_at = now
+            return
+        is_renewed = bool(self.subscriptions.in_contact(now))
+        is_lost = now - self.subscriptions.last_answer_at(now) > LEASE_EXTENSION_SECONDS
+        for upstream in upstreams:
+            if upstream.expires_at == math.inf and (is_renewed or is_lost):
+                lifetime = 0.0 if is_lost else upstream.registration.lifetime_ms / 1000
+                upstream.expires_at = now + lifetime
 
     def update_upstream(self, registration, sender, now):
         """Apply an upstream's registration; record an event unless it only renews the lease."""
--- a/lycheevalve/flows/passive_health.py
+++ b/lycheevalve/flows/passive_health.py
@@ -144,7 +144,9 @@
 
 def is_probe_due(upstream, now):
     """Return whether an unresponsive upstream announced itself since and may be probed."""
-    announced = upstream.reported_at > upstream.failed_at
+    # A lease that holds was renewed within its lifetime, also where renewals are not reported.
+    lifetime = upstream.registration.lifetime_ms / 1000
+    announced = upstream.reported_at > upstream.failed_at or now - upstream.failed_at > lifetime
     return (
         is_unresponsive(upstream, now)
         and announced
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -181,16 +181,24 @@
         return [upstream for upstream in upstreams if upstream.state(now) is UpstreamState.UP]
 
     def live_leases(self, now, addresses=None):
-        """Return the registrations of valid leases, each with its remaining lifetime."""
+        """
+        Return the registrations of valid leases, each with its remaining lifetime.
+
+        `addresses` limits them to these addresses (as text).
+        """
+        if addresses is None:
+            upstreams = self.by_address.values()
+        else:
+            keys = [parse_address(address) for address in addresses]
+            upstreams = [self.by_address[key] for key in keys if key in self.by_address]
         return [
             attrs.evolve(
                 upstream.registration,
                 lifetime_ms=int((upstream.expires_at - now) * 1000),
                 known_ms=int((now - upstream.started_at) * 1000),
             )
-            for upstream in self.by_address.values()
+            for upstream in upstreams
             if upstream.expires_at > now
-            and (addresses is None or upstream.registration.address in addresses)
         ]
 
     def overdue_leases(self, now):
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -389,6 +389,8 @@
   8: i64 process
   // Highest revision that the polled source has reported.
   9: i64 told
+  // Renewals of leases are left out; a lease holds until the source reports its expiry.
+  10: bool changes_only
 }
 
 // Update of configuration, upstreams and control replicas, sent by a control replica.
@@ -404,6 +406,10 @@
   // The sender has received announcements for longer than upstreams' interval between them.
   8: bool settled
   9: string data_centre
+  // Answers a poll for changes only: an expired lease is listed with a lifetime of 0.
+  10: bool changes_only
+  // The data centres of `controls`, in their order; empty where the sender has none.
+  11: list<string> control_data_centres
 }
 
 struct ReadRequest {
--- a/lycheevalve/tests/fakes/control_cluster.py
+++ b/lycheevalve/tests/fakes/control_cluster.py
@@ -40,8 +40,9 @@
         self.cuts = set()
         # (subscriber, source) -> start time of the pending exchange.
         self.pending_since = {}
-        # Reply of an announcement -> time of its acknowledgement.
+        # Reply of an announcement -> time of its acknowledgement, and the answer.
         self.acknowledged = {}
+        self.acknowledgements = {}
         self.seeds = [f"10.0.0.{number}:7000" for number in range(1, controls + 1)]
         self.entries = [f"10.0.1.{number}:7000" for number in range(1, entries + 1)]
         for address in self.seeds:
@@ -96,7 +97,7 @@
         self.now += STEP_SECONDS
         for address, process in list(self.running.items()):
             process.run_timers(self.now)
-            for source in list(process.subscriptions.sources):
+            for source in process.subscriptions.active():
                 self.connect(address, source)
         for address in list(self.running):
             self.deliver_requests(address)
@@ -137,7 +138,9 @@
         answers, control.answers = control.answers, []
         for reply, answer in answers:
             if isinstance(reply, str):
-                self.acknowledged.setdefault(reply, self.now)
+                self.acknowledgements[reply] = answer
+                if answer:
+                    self.acknowledged.setdefault(reply, self.now)
                 continue
             address, process = reply
             if self.running.get(address) is process and not self.is_cut(address, source):
