Wake an idle entry instance less often

Ruled out: longer polls (a failed source and a partition would be found later); resetting flows at the retransmission itself (evidence that the fabric moved flows arrives after it, two tests of passive health failed).

Change: periodic work has one interval, with urgent ticks while packets are held or callers retransmit; the log writer waits for events.

--- a/lycheevalve/coordination/timers.py
+++ b/lycheevalve/coordination/timers.py
@@ -18,6 +18,10 @@
         first = now + (interval if delay is None else delay)
         heapq.heappush(self.heap, (first, next(self.numbers), interval, callback))
 
+    def call_once(self, callback, at):
+        """Call `callback(now)` once at a time."""
+        heapq.heappush(self.heap, (at, next(self.numbers), None, callback))
+
     def run_due(self, now):
         """
         Run the due callbacks, each subscription at most once.
@@ -29,8 +33,9 @@
         while self.heap and self.heap[0][0] <= now:
             due.append(heapq.heappop(self.heap))
         for at, number, interval, callback in due:
-            next_at = max(at + interval, now)
-            heapq.heappush(self.heap, (next_at, number, interval, callback))
+            if interval is not None:
+                next_at = max(at + interval, now)
+                heapq.heappush(self.heap, (next_at, number, interval, callback))
             callback(now)
 
     def next_due(self):
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -250,7 +250,7 @@
         await self.ask_acknowledgement(Deregistration, name)
 
     async def ask_acknowledgement(self, event, *details):
-        """Wait until an upstream's call is acknowledged; raise UnavailableError if it is not."""
+        """Wait for an acknowledgement; raise UnavailableError if there is none."""
         if not await self.ask(self.inbox, event, *details):
             reason = "this replica is cut off from the other control replicas"
             raise UnavailableError(reason, "acknowledge", self.address)
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -21,9 +21,10 @@
 from lycheevalve.schema.generated import messages
 from lycheevalve.utils.addresses import parse_address
 
-TICK_INTERVAL_SECONDS = 0.1
-SOURCES_INTERVAL_SECONDS = 0.25
-DISSEMINATION_INTERVAL_SECONDS = 0.25
+# All periodic work of an idle instance is done at the same time: each wake-up has a cost.
+TICK_INTERVAL_SECONDS = 0.25
+# The interval while packets are held or callers retransmit.
+URGENT_TICK_INTERVAL_SECONDS = 0.05
 EVICTION_INTERVAL_SECONDS = 1.0
 
 
@@ -52,6 +53,7 @@
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
+    is_tick_urgent: bool = False
     # The sources that the leases of upstreams were last checked with.
     lease_sources: list = attrs.field(factory=list)
 
@@ -81,14 +83,22 @@
             started_at=self.now,
         )
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.cookie_router.tick, self.now)
-        self.timers.subscribe(DISSEMINATION_INTERVAL_SECONDS, self.dissemination.tick, self.now)
-        self.timers.subscribe(SOURCES_INTERVAL_SECONDS, self.update_sources, self.now)
+        self.timers.subscribe(TICK_INTERVAL_SECONDS, self.dissemination.tick, self.now)
+        self.timers.subscribe(TICK_INTERVAL_SECONDS, self.update_sources, self.now)
         self.timers.subscribe(EVICTION_INTERVAL_SECONDS, self.evict_expired, self.now)
 
     def run_timers(self, now):
-        """Run the timers that are due."""
+        """Run the timers that are due; tick sooner while callers wait."""
         self.now = now
         self.timers.run_due(now)
+        if not self.is_tick_urgent and self.cookie_router.has_pending_work(now):
+            self.is_tick_urgent = True
+            self.timers.call_once(self.run_urgent_tick, now + URGENT_TICK_INTERVAL_SECONDS)
+
+    def run_urgent_tick(self, now):
+        """Tick the cookie router between its periodic ticks."""
+        self.is_tick_urgent = False
+        self.cookie_router.tick(now)
 
     def evict_expired(self, now):
         """Evict expired upstreams and lost control replicas."""
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -16,6 +16,7 @@
 from lycheevalve.flows.load import decayed_failure_count
 from lycheevalve.flows.passive_health import (
     ANSWERED,
+    MAX_RETRANSMIT_INTERVAL_SECONDS,
     MIN_RETRANSMIT_INTERVAL_SECONDS,
     RETRANSMITTED,
     FlowRecord,
@@ -116,6 +117,8 @@
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
     rebalanced_at: float = float("-inf")
+    # When a caller last retransmitted.
+    retransmitted_at: float = float("-inf")
 
     def update_upstream(self, registration, now):
         """Apply an upstream's registration; return whether it is newer than the current one."""
@@ -195,6 +198,7 @@
         if observation == ANSWERED:
             self.observe("answered", upstream=upstream, seconds=flow.answer_seconds)
         elif observation == RETRANSMITTED:
+            self.retransmitted_at = flow.last_packet_at
             self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
 
     def should_reset(self, packet, route, upstream, now):
@@ -261,6 +265,7 @@
         at, tried = self.openings.get(packet.flow_key, (now, ()))
         if packet.copy and now - at >= MIN_RETRANSMIT_INTERVAL_SECONDS:
             record_retransmission(tried[-1], now)
+            self.retransmitted_at = now
         upstream = self.choose_upstream(route, tried, packet.copy == 0, now)
         if upstream is None:
             if self.is_synced(now):
@@ -338,6 +343,10 @@
             elif not self.try_handle_packet(packet, now):
                 self.held[key] = (since, packet)
 
+    def has_pending_work(self, now):
+        """Return whether packets are held or callers retransmit, so that ticks are urgent."""
+        return bool(self.held) or now - self.retransmitted_at < MAX_RETRANSMIT_INTERVAL_SECONDS
+
     def tick(self, now):
         """Retry held packets, reset flows on unresponsive upstreams, evict idle records."""
         self.retry_held(now)
--- a/lycheevalve/logs/queue.py
+++ b/lycheevalve/logs/queue.py
@@ -52,6 +52,8 @@
     rate_windows: dict = attrs.field(factory=lambda: collections.defaultdict(RateWindow))
     left_out: collections.Counter = attrs.field(factory=collections.Counter)
     left_out_total: collections.Counter = attrs.field(factory=collections.Counter)
+    # Called when an event was queued or left out; replaced by the writer.
+    wake: object = lambda: None
 
     def record(self, name, **fields):
         """Queue an event, unless its level is below the queue's."""
@@ -64,6 +66,7 @@
         else:
             self.left_out[name] += 1
             self.left_out_total[name] += 1
+        self.wake()
 
     def has_room(self, event):
         """Return whether the queue has room for an event of this level."""
@@ -165,13 +168,22 @@
         self.output.write(seconds)
 
     async def run(self):
-        """Write queued events periodically until cancelled."""
+        """Write queued events in batches until cancelled; an idle process isn't woken."""
         await trio.sleep(START_DELAY_SECONDS)
         if self.logger is None:
             self.configure_logger(await load_module("loguru"))
         while True:
             self.write()
             await trio.sleep(WRITE_INTERVAL_SECONDS)
+            await self.wait_for_events()
+
+    async def wait_for_events(self):
+        """Wait until there is something to write."""
+        event = trio.Event()
+        self.queue.wake = event.set
+        if not (self.queue.records or self.queue.left_out or self.output.buffer):
+            await event.wait()
+        self.queue.wake = lambda: None
 
     def close(self):
         """Write the remaining events at the end of the process."""
--- a/lycheevalve/tests/test_large_fleet.py
+++ b/lycheevalve/tests/test_large_fleet.py
@@ -12,9 +12,11 @@
     SOURCE_TIMEOUT_SECONDS,
     Subscriptions,
 )
+from lycheevalve.entry import URGENT_TICK_INTERVAL_SECONDS
+from lycheevalve.flows.cookie_routing import MAX_HOLD_SECONDS
 from lycheevalve.schema.generated.messages import News
 from lycheevalve.tests.fakes.control_cluster import ControlCluster
-from lycheevalve.tests.fakes.entry import LIFETIME_MS, build_registration
+from lycheevalve.tests.fakes.entry import LIFETIME_MS, build_packet, build_registration
 
 HEARTBEAT_SECONDS = LIFETIME_MS / 5000
 DATA_CENTRES = ("dc1", "dc2", "dc3", "dc4", "dc5", "dc6")
@@ -279,3 +281,31 @@
         fleet.running[fleet.seeds[0]].handle_announcement(drain, "drain", fleet.now)
         fleet.run(1.0)
         assert fleet.acknowledgements["drain"] is True
+
+
+class TestIdleInstance:
+    """An idle instance is rarely woken; callers that wait are served as fast as before."""
+
+    def count_wakeups(self, entry, now, seconds):
+        """Return how often the timers of an entry instance are due in some seconds."""
+        wakeups, end = 0, now + seconds
+        while (due := entry.timers.next_due()) <= end:
+            entry.run_timers(due)
+            wakeups += 1
+        return wakeups
+
+    def test_timers_of_an_idle_instance_are_due_together(self):
+        fleet = build_fleet(entries=1)
+        entry = fleet.running[fleet.entries[0]]
+        # Four periodic ticks a second, and one that may fall between two of them.
+        assert self.count_wakeups(entry, fleet.now, 10.0) <= 5 * 10
+
+    def test_held_packet_is_dropped_in_time(self):
+        fleet = build_fleet(entries=1)
+        entry = fleet.running[fleet.entries[0]]
+        entry.cookie_router.handle_packet(build_packet(cookie=99, size=10), fleet.now)
+        entry.run_timers(fleet.now)
+        begun = fleet.now
+        while entry.cookie_router.held:
+            entry.run_timers(entry.timers.next_due())
+        assert entry.now - begun <= MAX_HOLD_SECONDS + 2 * URGENT_TICK_INTERVAL_SECONDS
--- a/lycheevalve/tests/test_logs.py
+++ b/lycheevalve/tests/test_logs.py
@@ -9,6 +9,7 @@
 import loguru
 import pytest
 import trio
+import trio.testing
 
 import lycheevalve
 from lycheevalve.daemon import role_process
@@ -220,3 +221,26 @@
         writer.write()
         os.close(descriptor)
         assert not writer.output.buffer
+
+    def test_idle_writer_is_not_woken(self, pipe, monkeypatch):
+        writer, _ = build_writer(pipe[1])
+        writes = []
+        write = Writer.write
+        monkeypatch.setattr(
+            Writer, "write", lambda self: writes.append(trio.current_time()) or write(self)
+        )
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                begun = trio.current_time()
+                nursery.start_soon(writer.run)
+                await trio.sleep(60.0)
+                writer.queue.record("stopped")
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            return begun
+
+        begun = trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        assert len(writes) == 2
+        assert writes[-1] - begun == pytest.approx(60.0, abs=queue.WRITE_INTERVAL_SECONDS)
+        assert json.loads(os.read(pipe[0], 1000))["event"] == "stopped"
