Revive an expired lease only after a newer registration

Cause: a replica that was paused or cut off still reports the leases of before. An entry instance that polled it again took upstreams as alive that the other replicas had reported as expired, until that replica's own leases ended.

Change: an expiry carries the sequence number up to which it holds; only a newer registration revives the lease. Sources vouch for leases before their table is complete, but none expires then.

--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -223,11 +223,7 @@
 
     def lease_sources(self, now):
         """Return the sources in contact that report which leases have expired."""
-        return [
-            address
-            for address in self.in_contact(now)
-            if self.sources[address].changes_only and self.sources[address].settled
-        ]
+        return [a for a in self.in_contact(now) if self.sources[a].changes_only]
 
     def is_leased(self, registration, sources):
         """Return whether one of these sources reports that an upstream's lease holds."""
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -197,9 +197,10 @@
         self.subscriptions.handle_news(sender, update, now)
         self.cookie_router.settings_unconfirmed = False
         for registration in update.registrations:
-            # A registration with an expired lease is older than the one before.
             if registration.lifetime_ms > 0:
                 self.update_upstream(registration, sender, now)
+            else:
+                self.record_expiry(registration)
         self.update_sources(now)
         addresses = [parse_address(r.address) for r in update.registrations]
         known = [self.upstreams.by_address.get(address) for address in addresses]
@@ -213,23 +214,33 @@
         """
         Set whether the leases of upstreams hold, as the sources report it.
 
-        Without such a source a lease holds, for at most LEASE_EXTENSION_SECONDS; one
-        that is renewed by registrations ends with its lifetime.
+        An expired lease holds again only after a newer registration: a replica that was
+        paused still reports the leases of before. Without any source a lease holds for at
+        most LEASE_EXTENSION_SECONDS; one that is renewed by registrations ends with its
+        lifetime.
         """
         sources = self.lease_sources
-        if sources:
-            for upstream in upstreams:
-                if self.subscriptions.is_leased(upstream.registration, sources):
-                    upstream.expires_at = math.inf
-                elif upstream.expires_at == math.inf:
-                    upstream.expires_at = now
-            return
-        is_renewed = bool(self.subscriptions.in_contact(now))
+        is_complete = self.subscriptions.is_settled(now)
         is_lost = now - self.subscriptions.last_answer_at(now) > LEASE_EXTENSION_SECONDS
+        is_renewed = not sources and bool(self.subscriptions.in_contact(now))
         for upstream in upstreams:
-            if upstream.expires_at == math.inf and (is_renewed or is_lost):
-                lifetime = 0.0 if is_lost else upstream.registration.lifetime_ms / 1000
-                upstream.expires_at = now + lifetime
+            if self.subscriptions.is_leased(upstream.registration, sources):
+                if upstream.expires_at > now:
+                    upstream.expires_at = math.inf
+            elif upstream.expires_at < math.inf:
+                continue
+            elif is_renewed:
+                upstream.expires_at = now + upstream.registration.lifetime_ms / 1000
+            elif is_lost or (sources and is_complete):
+                upstream.expires_at = now
+
+    def record_expiry(self, registration):
+        """Record up to which announcement an upstream's lease has expired at a source."""
+        upstream = self.upstreams.find(registration.address, registration.incarnation)
+        if upstream is not None and upstream.registration.sequence < registration.sequence:
+            upstream.registration = attrs.evolve(
+                upstream.registration, sequence=registration.sequence
+            )
 
     def update_upstream(self, registration, sender, now):
         """Apply an upstream's registration; record an event unless it only renews the lease."""
--- a/lycheevalve/tests/test_large_fleet.py
+++ b/lycheevalve/tests/test_large_fleet.py
@@ -13,6 +13,7 @@
     SOURCE_TIMEOUT_SECONDS,
     Subscriptions,
 )
+from lycheevalve.coordination.upstream_cache import RESTORED_LEASE_MS
 from lycheevalve.entry import URGENT_TICK_INTERVAL_SECONDS
 from lycheevalve.flows.cookie_routing import MAX_HOLD_SECONDS
 from lycheevalve.schema.generated.messages import News, Poll
@@ -130,6 +131,46 @@
         assert fleet.running[first].upstreams.usable("nightsync", fleet.now) == []
         assert fleet.usable(entry) == 20
 
+    def test_paused_replica_does_not_revive_an_upstream(self):
+        """A replica that resumes still reports leases that have expired at the others."""
+        fleet = build_fleet(entries=1)
+        entry = fleet.entries[0]
+        paused = fleet.running[entry].subscriptions.active()[0]
+        process = fleet.running.pop(paused)
+        fleet.numbers.remove(7)
+        fleet.run_heartbeats(8.0)
+        assert fleet.usable(entry) == 19
+        # The steady clock of a paused process stands still.
+        for upstream in process.upstreams.by_address.values():
+            upstream.expires_at += 8.0
+        fleet.running[paused] = process
+        most = 0
+        for _ in range(20):
+            fleet.run_heartbeats(HEARTBEAT_SECONDS)
+            most = max(most, fleet.usable(entry))
+        assert most == 19
+
+    def test_instance_that_starts_beside_restarting_replicas_keeps_all_upstreams(self):
+        """After a power loss replicas report leases of two seconds, and the instance starts."""
+        fleet = build_fleet(entries=1)
+        registrations = [build_registration(n, sequence=1000) for n in fleet.numbers]
+        for address in fleet.seeds:
+            fleet.start_control(address)
+            for registration in registrations:
+                restored = attrs.evolve(registration, lifetime_ms=RESTORED_LEASE_MS)
+                fleet.running[address].apply_registration(restored, fleet.now)
+        fleet.sequence = 1000
+        fleet.commit(4)
+        fleet.start_entry(fleet.entries[0])
+        fleet.run(0.5)
+        fewest = 20
+        for step in range(100):
+            if step % 8 == 0:
+                fleet.announce()
+            fleet.run(0.1)
+            fewest = min(fewest, fleet.usable(fleet.entries[0]))
+        assert fewest == 20
+
     def test_restarted_replica_is_trusted_once_its_table_is_complete(self):
         fleet = build_fleet(entries=1)
         entry = fleet.entries[0]
