--- a/bench/mutations/coordination.py
+++ b/bench/mutations/coordination.py
@@ -5,6 +5,7 @@
 CONSENSUS = "test_consensus.py"
 DOCUMENTS = "test_documents.py"
 LEADERSHIP = "test_leadership.py"
+LARGE_FLEET = "test_large_fleet.py"
 DISSEMINATION = "test_dissemination.py"
 COORDINATION_MUTANTS = (
     Mutant(
@@ -143,8 +144,8 @@
     Mutant(
         "feeds: deregistrations are acknowledged at once",
         "control.py",
-        "if is_update and (registration.draining or registration.leaving):",
-        "if False:",
+        "elif is_update and is_end:",
+        "elif False:",
         "test_feeds.py::TestUpstreams",
     ),
     Mutant(
@@ -168,4 +169,60 @@
         "            pass\n",
         f"{LEADERSHIP}::TestCommit",
     ),
+    Mutant(
+        "feeds: expired leases are not published",
+        "control.py",
+        "self.timers.subscribe(EXPIRY_INTERVAL_SECONDS, self.feed.publish_expired, self.now)",
+        "",
+        f"{LARGE_FLEET}::TestRenewals",
+    ),
+    Mutant(
+        "feeds: entry instances receive renewals",
+        "coordination/feeds.py",
+        "versions = self.urgent_versions if changes_only else self.versions",
+        "versions = self.versions",
+        f"{LARGE_FLEET}::TestRenewals",
+    ),
+    Mutant(
+        "feeds: an upstream that returns is published as a renewal",
+        "coordination/feeds.py",
+        "if address in self.expired or not is_renewal(registration, previous):",
+        "if not is_renewal(registration, previous):",
+        f"{LARGE_FLEET}::TestRenewals",
+    ),
+    Mutant(
+        "sources: instances poll all replicas",
+        "coordination/subscriptions.py",
+        "chosen = set(self.sources) if self.is_control else self.find_usable(now)",
+        "chosen = set(self.sources)",
+        f"{LARGE_FLEET}::TestSources",
+    ),
+    Mutant(
+        "sources: a replica that is not current counts as usable",
+        "coordination/subscriptions.py",
+        "            and now - self.current_at <= CURRENT_TIMEOUT_SECONDS",
+        "            and True",
+        f"{LARGE_FLEET}::TestSources",
+    ),
+    Mutant(
+        "leases: any report revives an expired lease",
+        "entry.py",
+        "if upstream.expires_at > now:",
+        "if True:",
+        f"{LARGE_FLEET}::TestRenewals",
+    ),
+    Mutant(
+        "drains: a replica that is cut off acknowledges them",
+        "control.py",
+        "if is_end and not self.subscriptions.reaches_most(now):",
+        "if False:",
+        f"{LARGE_FLEET}::TestDrains",
+    ),
+    Mutant(
+        "polls: all pending polls are checked at each event",
+        "control.py",
+        "if update != self.checked_update:",
+        "if True:",
+        f"{LARGE_FLEET}::TestPolls",
+    ),
 )
