Check all leases when a source's feed is new or its table complete

Cause: an entry instance checked all leases only when the list of its sources changed. A replica that restarts within the contact timeout has a new feed and an empty table, so a lease that it no longer reported was not ended: an upstream that failed while all replicas restarted stayed in use.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -14,6 +14,7 @@
     "test_flows.py::TestFailures",
     "test_requests.py::TestRequests",
     "test_dissemination.py::TestRevisions",
+    "test_lease_reports.py::TestLeaseReports",
     "test_inputs.py",
     "test_storage.py::TestDamage",
 )
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -54,8 +54,10 @@
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
     is_tick_urgent: bool = False
-    # The sources that the leases of upstreams were last checked with.
+    # The sources that the leases of upstreams were last checked with, the numbers of their
+    # feeds, and whether the table of one was complete.
     lease_sources: list = attrs.field(factory=list)
+    checked_feeds: tuple = ()
 
     def __attrs_post_init__(self):
         self.timers = Timers()
@@ -114,9 +116,11 @@
     def update_sources(self, now):
         """Choose the control replicas to poll; check all leases when those have changed."""
         self.subscriptions.choose_active(now, started=self.dissemination.ready)
-        lease_sources = self.subscriptions.lease_sources(now)
-        if lease_sources != self.lease_sources or not lease_sources:
-            self.lease_sources = lease_sources
+        self.lease_sources = self.subscriptions.lease_sources(now)
+        feeds = [self.subscriptions.sources[address].feed for address in self.lease_sources]
+        feeds = (*self.lease_sources, *feeds, self.subscriptions.is_settled(now))
+        if feeds != self.checked_feeds or not self.lease_sources:
+            self.checked_feeds = feeds
             self.update_leases(self.upstreams.by_address.values(), now)
 
     # Readiness.
