--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -106,23 +106,23 @@
                 continue
             source = self.sources.get(address)
             if source is None:
-                if len(self.sources) >= MAX_SOURCES and not self.evict_silent(now):
+                if len(self.sources) >= MAX_SOURCES and not self.evict_unresponsive(now):
                     continue
                 rank = xxhash.xxh32_intdigest(f"{self.own_address}|{address}".encode())
                 source = self.sources[address] = Source(rank)
             source.last_listed_at = now
             source.data_centre = source.data_centre or data_centre
 
-    def evict_silent(self, now):
-        """Evict the source that has been silent for longest; return whether there is one."""
-        silent = [
+    def evict_unresponsive(self, now):
+        """Evict the source without an answer for longest; return whether there is one."""
+        failed = [
             address
             for address, source in self.sources.items()
             if address not in self.seeds and source.has_failed(now)
         ]
-        if not silent:
+        if not failed:
             return False
-        del self.sources[min(silent, key=lambda address: self.sources[address].answered_at)]
+        del self.sources[min(failed, key=lambda address: self.sources[address].answered_at)]
         return True
 
     def choose_active(self, now, started=False):
@@ -212,14 +212,19 @@
         source.current_at = now if news.current else source.current_at
         source.data_centre = news.data_centre
         source.changes_only = bool(news.changes_only)
-        for registration in news.registrations:
+        if source.changes_only:
+            self.update_source_leases(source, news.registrations)
+        self.add_sources(news.controls, now, news.control_data_centres or ())
+
+    # Leases of upstreams.
+
+    def update_source_leases(self, source, registrations):
+        """Update the leases that a source reports; one with a lifetime of 0 has expired."""
+        for registration in registrations:
             if registration.lifetime_ms > 0:
                 source.leases[registration.address] = registration.incarnation
             else:
                 source.leases.pop(registration.address, None)
-        self.add_sources(news.controls, now, news.control_data_centres or ())
-
-    # Leases of upstreams.
 
     def lease_sources(self, now):
         """Return the sources in contact that report which leases have expired."""
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -54,10 +54,11 @@
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
     is_tick_urgent: bool = False
-    # The sources that the leases of upstreams were last checked with, the numbers of their
-    # feeds, and whether the table of one was complete.
+    # The sources that report leases.
     lease_sources: list = attrs.field(factory=list)
-    checked_feeds: tuple = ()
+    # What all leases were last checked with: these sources, the numbers of their feeds, and
+    # whether the table of one was complete.
+    checked_reports: tuple = ()
 
     def __attrs_post_init__(self):
         self.timers = Timers()
@@ -114,13 +115,13 @@
         return list(self.subscriptions.sources)
 
     def update_sources(self, now):
-        """Choose the control replicas to poll; check all leases when those have changed."""
+        """Choose the control replicas to poll; check all leases if their reports are new."""
         self.subscriptions.choose_active(now, started=self.dissemination.ready)
         self.lease_sources = self.subscriptions.lease_sources(now)
         feeds = [self.subscriptions.sources[address].feed for address in self.lease_sources]
-        feeds = (*self.lease_sources, *feeds, self.subscriptions.is_settled(now))
-        if feeds != self.checked_feeds or not self.lease_sources:
-            self.checked_feeds = feeds
+        reports = (*self.lease_sources, *feeds, self.subscriptions.is_settled(now))
+        if reports != self.checked_reports or not self.lease_sources:
+            self.checked_reports = reports
             self.update_leases(self.upstreams.by_address.values(), now)
 
     # Readiness.
