--- a/bench/steered.py
+++ b/bench/steered.py
@@ -12,8 +12,8 @@
 
 from lycheevalve.config.roles import ENTRY
 from lycheevalve.daemon.entry import EntryProcess
-from lycheevalve.flows.cookie_routing import FrontDoorRoute
 from lycheevalve.flows.cookies import build_cookie
+from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.logs.queue import set_up_logs
 from lycheevalve.platform.codec import Codec
 from lycheevalve.platform.packets import ACK, HEADER, ZERO_PADDING
--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -12,7 +12,7 @@
 import attrs
 
 from lycheevalve.exceptions import SettingsError
-from lycheevalve.flows.cookie_routing import FrontDoorRoute
+from lycheevalve.flows.front_doors import FrontDoorRoute
 
 STEP = "check configuration"
 MAX_PORT = 65_535
--- a/lycheevalve/platform/packets.py
+++ b/lycheevalve/platform/packets.py
@@ -1,5 +1,5 @@
 """
-The platform's packets: parsed into cookie_routing.Packet and built as datagrams.
+The platform's packets: parsed into front_doors.Packet and built as datagrams.
 
 A packet is a big-endian header of 34 bytes and up to 1,200 bytes of data.
 """
@@ -10,7 +10,7 @@
 import struct
 
 from lycheevalve.exceptions import DatagramError
-from lycheevalve.flows.cookie_routing import Packet
+from lycheevalve.flows.front_doors import Packet
 
 # echo, seq, ack, sum, flags, pad, src, dport, sport, dst, len
 HEADER = struct.Struct(">IIIIB3s4sHH4sH")
--- a/lycheevalve/tests/fakes/entry.py
+++ b/lycheevalve/tests/fakes/entry.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from lycheevalve.flows.cookie_routing import CookieRouter, FrontDoorRoute, Packet
+from lycheevalve.flows.cookie_routing import CookieRouter
+from lycheevalve.flows.front_doors import FrontDoorRoute, Packet
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.schema.generated.messages import Registration
 
--- a/lycheevalve/tests/test_cookie_routing.py
+++ b/lycheevalve/tests/test_cookie_routing.py
@@ -7,8 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from lycheevalve.flows import cookie_routing
-from lycheevalve.flows.cookie_routing import FrontDoorRoute
 from lycheevalve.flows.cookies import build_cookie
+from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.tests.fakes.entry import (
     CALLER_WINDOW_BYTES,
     FRONT_DOOR,
--- a/lycheevalve/tests/test_large_fleet.py
+++ b/lycheevalve/tests/test_large_fleet.py
@@ -16,80 +16,14 @@
 from lycheevalve.coordination.upstream_cache import RESTORED_LEASE_MS
 from lycheevalve.entry import URGENT_TICK_INTERVAL_SECONDS
 from lycheevalve.flows.cookie_routing import MAX_HOLD_SECONDS
-from lycheevalve.schema.generated.messages import News, Poll
-from lycheevalve.tests.fakes.control_cluster import ControlCluster
+from lycheevalve.schema.generated.messages import News
 from lycheevalve.tests.fakes.entry import LIFETIME_MS, build_packet, build_registration
+from lycheevalve.tests.fakes.fleet import HEARTBEAT_SECONDS, build_fleet
 
-HEARTBEAT_SECONDS = LIFETIME_MS / 5000
-DATA_CENTRES = ("dc1", "dc2", "dc3", "dc4", "dc5", "dc6")
 # A change reaches an instance within this time through replicas that work.
 PROPAGATION_SECONDS = 0.2
 
 
-class Fleet(ControlCluster):
-    """Six replicas in as many data centres, and upstreams that send heartbeats to them."""
-
-    def __init__(self, entries=8, upstreams=20):
-        super().__init__(6, entries, data_centres=DATA_CENTRES)
-        self.numbers = list(range(1, upstreams + 1))
-        self.sequence = 0
-        self.received = collections.Counter()
-        self.polls = collections.Counter()
-        for address, process in self.running.items():
-            if address in self.entries:
-                self.count_registrations(process)
-            else:
-                self.count_polls(address, process)
-
-    def count_registrations(self, process):
-        """Count the registrations that an entry instance receives."""
-        handle = process.handle_updates
-
-        def count(sender, update, now):
-            self.received[process.address] += len(update.registrations)
-            handle(sender, update, now)
-
-        process.handle_updates = count
-
-    def count_polls(self, address, process):
-        """Count the polls of entry instances at a replica."""
-        handle = process.handle_poll
-
-        def count(poll, reply, now):
-            self.polls[address] += not poll.is_control
-            handle(poll, reply, now)
-
-        process.handle_poll = count
-
-    def announce(self):
-        """Deliver a heartbeat of each upstream, each to one running replica."""
-        self.sequence += 1
-        running = [a for a in self.seeds if a in self.running]
-        for number in self.numbers:
-            control = self.running[running[number % len(running)]]
-            registration = build_registration(number, sequence=self.sequence)
-            control.handle_announcement(registration, f"beat-{number}", self.now)
-
-    def run_heartbeats(self, seconds):
-        """Advance the time while all upstreams send heartbeats."""
-        for _ in range(round(seconds / HEARTBEAT_SECONDS)):
-            self.announce()
-            self.run(HEARTBEAT_SECONDS)
-
-    def usable(self, address):
-        """Return the number of upstreams that an entry instance places flows on."""
-        entry = self.running[address]
-        return len(entry.upstreams.usable("nightsync", self.now))
-
-
-def build_fleet(**values):
-    """Return a fleet whose instances hold a configuration and all upstreams."""
-    fleet = Fleet(**values)
-    fleet.commit(3)
-    fleet.run_heartbeats(4.0)
-    return fleet
-
-
 class TestRenewals:
     """Lease renewals are not sent to entry instances."""
 
@@ -364,54 +298,3 @@
         while entry.cookie_router.held:
             entry.run_timers(entry.timers.next_due())
         assert entry.now - begun <= MAX_HOLD_SECONDS + 2 * URGENT_TICK_INTERVAL_SECONDS
-
-
-def make_replicas_earlier(fleet, addresses):
-    """Make replicas answer as those of the earlier version, which ignore `changes_only`."""
-    for address in addresses:
-        process = fleet.running[address]
-
-        def handle(poll, *details, handle_poll=process.handle_poll):
-            poll.changes_only = False
-            handle_poll(poll, *details)
-
-        def answer(entry, now, process=process, answer_poll=process.answer_poll):
-            answer_poll(entry, now)
-            reply, news = process.answers[-1]
-            process.answers[-1] = (reply, attrs.evolve(news, control_data_centres=[]))
-
-        process.handle_poll, process.answer_poll = handle, answer
-
-
-def make_instance_earlier(entry):
-    """Make an entry instance poll as one of the earlier version."""
-    send = entry.send
-
-    def send_earlier(name, message):
-        if isinstance(message, Poll):
-            message.changes_only = False
-        send(name, message)
-
-    entry.send = send_earlier
-
-
-class TestRollingUpdate:
-    """Processes of the earlier version, which send renewals, beside those of this one."""
-
-    def test_earlier_instance_keeps_its_upstreams(self):
-        fleet = Fleet(entries=2)
-        make_instance_earlier(fleet.running[fleet.entries[0]])
-        fleet.commit(3)
-        fleet.run_heartbeats(12.0)
-        assert [fleet.usable(address) for address in fleet.entries] == [20, 20]
-
-    @pytest.mark.parametrize("earlier", [1, 3, 6])
-    def test_instance_beside_earlier_replicas(self, earlier):
-        fleet = Fleet(entries=4)
-        make_replicas_earlier(fleet, fleet.seeds[:earlier])
-        fleet.commit(3)
-        fleet.run_heartbeats(12.0)
-        assert {fleet.usable(address) for address in fleet.entries} == {20}
-        fleet.numbers.remove(7)
-        fleet.run_heartbeats(8.0)
-        assert {fleet.usable(address) for address in fleet.entries} == {19}
--- a/lycheevalve/tests/test_passive_health.py
+++ b/lycheevalve/tests/test_passive_health.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheevalve.flows import cookie_routing, passive_health
-from lycheevalve.flows.cookie_routing import FrontDoorRoute
+from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.tests.fakes.entry import (
     CALLER_WINDOW_BYTES,
     FRONT_DOOR,
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -15,7 +15,7 @@
     SettingsError,
     UnavailableError,
 )
-from lycheevalve.flows.cookie_routing import FrontDoorRoute
+from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.platform import operators, packets
 from lycheevalve.platform.documents import decompress_document, read_document, read_routes
