Reset idle flows only when another upstream has the address

Replayed with logs: core_cut (leader, all) cuts the leader off from the system, not from the upstreams. It still acknowledges their heartbeats, so these call no other replica; at the others their leases end after 3.9 s, and idle flows of live upstreams were reset.

Change: an expired lease no longer resets flows; an upstream whose address another incarnation has taken does.

--- a/bench/mutations/flows.py
+++ b/bench/mutations/flows.py
@@ -214,10 +214,10 @@
         "test_logs.py::TestWriter",
     ),
     Mutant(
-        "health: idle flows on failed upstreams are kept",
+        "health: idle flows on replaced upstreams are kept",
         "flows/cookie_routing.py",
-        "        self.reset_flows_of_failed_upstreams(now)\n        self.evict_oldest(",
+        "        self.reset_flows_of_replaced_upstreams(now)\n        self.evict_oldest(",
         "        self.evict_oldest(",
-        "test_passive_health.py::TestFailedUpstream",
+        "test_passive_health.py::TestReplacedUpstream",
     ),
 )
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -195,26 +195,22 @@
             if flow.idle or self.is_idempotent(packet):
                 self.reset_flow(packet, "left_silent", flow.upstream)
 
-    def reset_flows_of_failed_upstreams(self, now):
+    def reset_flows_of_replaced_upstreams(self, now):
         """
-        Reset idle flows on upstreams that have failed, before their callers' next requests.
+        Reset idle flows on upstreams that have ended, before their callers' next requests.
 
         Such a request would get no answer, and a caller must not repeat one that isn't
         idempotent. Flows that may have moved to another instance are reset too: their
-        upstream answers through no instance.
+        upstream answers through no instance. An expired lease does not suffice: the
+        upstream may announce itself to a replica that is cut off.
         """
-        lease_now = self.lease_time(now)
-        failed = [
-            upstream
-            for upstream in self.upstreams.by_index.values()
-            if upstream.flows and upstream.has_failed(lease_now, now)
-        ]
-        replaceable = [u for u in failed if self.candidates(u.service, now)]
+        replaced = [u for u in self.upstreams.by_index.values() if u.flows and u.replaced]
+        replaceable = [u for u in replaced if self.candidates(u.service, now)]
         if not replaceable:
             return
         for flow in [flow for flow in self.flows.values() if flow.upstream in replaceable]:
             if flow.idle and flow.last_ack_packet is not None:
-                self.reset_flow(flow.last_ack_packet, "upstream_failed", flow.upstream)
+                self.reset_flow(flow.last_ack_packet, "upstream_replaced", flow.upstream)
 
     def is_idempotent(self, packet):
         """Return whether requests to the packet's front door are idempotent."""
@@ -334,7 +330,7 @@
         """Retry held packets, reset flows on unresponsive upstreams, evict idle records."""
         self.retry_held(now)
         self.reset_unresponsive_flows(now)
-        self.reset_flows_of_failed_upstreams(now)
+        self.reset_flows_of_replaced_upstreams(now)
         self.evict_oldest(
             self.openings, lambda opening: now - opening[0] > OPENING_EXPIRY_SECONDS
         )
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -90,16 +90,6 @@
             return False
         return now < self.expires_at or now - self.answered_at < ANSWER_GRACE_SECONDS
 
-    def has_failed(self, lease_now, now):
-        """
-        Return whether it ended without a deregistration, or is cut off from control.
-
-        `lease_now` is the time against which leases are checked.
-        """
-        if self.replaced:
-            return True
-        return lease_now >= self.expires_at and now - self.answered_at >= ANSWER_GRACE_SECONDS
-
     def has_exited(self, now):
         """Return whether its process has exited, after it was replaced or deregistered."""
         return self.replaced or now - self.deregistered_at > DEREGISTRATION_GRACE_SECONDS
--- a/lycheevalve/logs/timeline.py
+++ b/lycheevalve/logs/timeline.py
@@ -46,7 +46,7 @@
     "no_upstream": "no upstream of the service accepts new flows",
     "upstream_gone": "the upstream deregistered, or another incarnation has its address",
     "upstream_silent": "its upstream did not answer while another one did",
-    "upstream_failed": "the lease of its upstream ended or its address is reused; idle flow",
+    "upstream_replaced": "another incarnation has the upstream's address; the flow was idle",
     "left_silent": "its upstream was unresponsive, the flow idle or its requests idempotent",
 }
 
