Measure silence by the arrival of retransmissions, not by the time since

Ruled out: the outgoing link (a later packet had been answered by then).

Change: the wait of a silent flow ends when its last retransmission arrives. Links are queues, so that one was sent after the answer that proves the departure. What proves it is the first packet since the last answer, not the newest: a request may be refused before all of its packets arrive.

--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -163,7 +163,8 @@
             at, _ = self.openings.get(packet.flow_key, (flow.last_packet_at, ()))
             self.deliveries.record(at, now)
         elif flow.sent is not None and advances_acknowledgement(flow, packet):
-            self.deliveries.record(flow.sent_at, now)
+            # Requests may be refused before all of their packets have arrived.
+            self.deliveries.record(flow.first_sent_at, now)
         elif packet.flow_key in self.openings and not flow.acknowledged:
             # Answered after another copy of the opening packet went elsewhere.
             flow.upstream.silences.pop(packet.flow_key, None)
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -8,6 +8,8 @@
 
 - A packet counts only from the moment at which it has provably left this instance. The
   link is a queue: once any later packet has been answered, all earlier ones have left.
+- A retransmission counts by its arrival, not by the time that has passed since: packets
+  to this instance queue too, and it may have been sent before the answer arrived.
 - Opening packets and every second data packet are acknowledged at once, by a busy
   upstream too. A single data packet is acknowledged by its answer.
 - One caller or its path may fail, so two flows have to agree unless one waits for long.
@@ -67,7 +69,7 @@
 class Silence:
     """Packets of one flow that its upstream has not answered; times in seconds."""
 
-    # When the newest of them was forwarded, and when the caller last retransmitted.
+    # When the newest of them was forwarded, and when the last retransmission arrived.
     sent_at: float
     repeated_at: float
     copies: int = 1
@@ -96,7 +98,7 @@
         if now - silence.repeated_at > EVIDENCE_SECONDS:
             del upstream.silences[key]
     waits = [
-        (silence, measure_wait(upstream, silence, deliveries, now))
+        (silence, measure_wait(upstream, silence, deliveries))
         for silence in upstream.silences.values()
     ]
     overdue = [silence for silence, wait in waits if wait >= answer_time(silence)]
@@ -108,12 +110,12 @@
     )
 
 
-def measure_wait(upstream, silence, deliveries, now):
-    """Return for how many seconds an upstream provably has left a packet unanswered."""
+def measure_wait(upstream, silence, deliveries):
+    """Return for how many seconds an upstream provably had left a packet unanswered."""
     left_by = deliveries.left_by(silence.sent_at)
     if left_by is None:
         return 0.0
-    return now - max(left_by, upstream.answered_at)
+    return silence.repeated_at - max(left_by, upstream.answered_at)
 
 
 def answer_time(silence):
--- a/lycheevalve/flows/passive_health.py
+++ b/lycheevalve/flows/passive_health.py
@@ -46,8 +46,10 @@
     # The sequence number after the newest forwarded data, and when it was forwarded.
     sent: int | None = None
     sent_at: float = 0.0
-    # New data packets since the last answer, and the bytes known to be acknowledged.
+    # The new data packets since the last answer: when the first was forwarded, their number.
+    first_sent_at: float = 0.0
     unanswered_packets: int = 0
+    # Data before this sequence number is known to be acknowledged.
     window_start: int | None = None
     acknowledged: int | None = None
     # Whether it was opened here and the upstream has not answered yet.
@@ -92,6 +94,8 @@
             upstream.silences.pop(key, None)
             record_answer(upstream, now)
         flow.sent, flow.sent_at = end, now
+        if not flow.unanswered_packets:
+            flow.first_sent_at = now
         flow.unanswered_packets += 1
         flow.request = packet.request or flow.request
     elif now - flow.sent_at >= MIN_RETRANSMIT_INTERVAL_SECONDS:
