Reset a flow by its packet only if that packet is itself unanswered

Change: only retransmissions are reset in the packet's path, and evidence without a further retransmission expires after 0.8 s instead of 2 s. Idle flows that have been here all the while are reset at the tick, as before.

Test: a flow that moves here is tracked and not reset by its first packet; it failed before.

--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -148,10 +148,11 @@
             self.rebalanced_at = now
         flow = self.track_flow(packet, upstream, now)
         self.record_delivery(flow, packet, now)
-        self.report_observation(update_from_packet(flow, packet, now), flow, packet)
+        observation = update_from_packet(flow, packet, now)
+        self.report_observation(observation, flow, packet)
         if packet.ends:
             self.untrack_flow(packet.flow_key)
-        elif self.should_reset(packet, route, upstream, now):
+        elif observation == RETRANSMITTED and self.should_reset(route, upstream, now):
             self.reset_flow(packet, "upstream_silent", upstream)
             return True
         self.forward(upstream, packet.cookie, packet)
@@ -181,9 +182,14 @@
             self.retransmitted_at = flow.last_packet_at
             self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
 
-    def should_reset(self, packet, route, upstream, now):
-        """Return whether to reset a flow so that its caller opens one on a healthy upstream."""
-        if not (packet.size and route.idempotent and self.is_failed(upstream, now)):
+    def should_reset(self, route, upstream, now):
+        """
+        Return whether to reset a flow so that its caller opens one on a healthy upstream.
+
+        Only a flow that is itself unanswered is reset: one that has just moved here from
+        another instance brings no evidence, and what was seen here may be out of date.
+        """
+        if not (route.idempotent and self.is_failed(upstream, now)):
             return False
         return self.has_alternative(upstream, now)
 
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -27,8 +27,9 @@
 SINGLE_FLOW_SECONDS = 1.0
 SINGLE_FLOW_COPIES = 3
 AGREEING_FLOWS = 2
-# Evidence without a further retransmission expires; callers retransmit at least this often.
-EVIDENCE_SECONDS = 2.0
+# Evidence without a further retransmission expires: the time from a caller's second
+# retransmission to its third, so that the evidence of two flows can meet.
+EVIDENCE_SECONDS = 0.8
 DELIVERY_RETENTION_SECONDS = 4.0
 
 
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -260,6 +260,27 @@
         assert world.false_resets == []
 
 
+    def test_flow_that_moves_here_is_not_reset_by_its_first_packet(self):
+        """
+        Evidence of before may be out of date when the fabric moves a flow to an instance.
+
+        ile-admissions-grown, scale-1: two flows were reset with their first packet here.
+        """
+        world = build_busy_world()
+        dark = world.callers[0].upstream
+        world.darken(dark.index)
+        for _ in range(9):
+            for caller in world.callers:
+                world.request(caller)
+            world.run(0.1)
+        assert world.sound_resets
+        world.entry.resets.clear()
+        values = {"cookie": dark.cookie, "sequence": 9000, "acknowledged": 900}
+        moved = build_packet(b"moved", size=PACKET_BYTES, **values)
+        assert world.entry.cookie_router.try_handle_packet(moved, world.now)
+        assert b"moved" in world.entry.cookie_router.flows
+
+
 class TestFailedUpstream:
     """An upstream that is really dark is left within the callers' second retransmission."""
 
