Serve evacuations of data centres, and spare upstreams that warm up

Change: an order is an entry of the replicated log, acknowledged once a quorum has it on disk. The evacuated data centres have a number of their own beside the revision, which operators assign; each process applies the highest number, polls carry it and news deliver it at once, between replicas too, so learners have it. Instances place no flow on these upstreams; open flows stay; without another upstream a flow is refused at once with the reason. A data centre that is cut off and evacuated leaves the rotation. `lycheevalve evacuate` and `restore` do the same for sites whose operators use the command line, and `status` shows it.

Upstreams of a service with a warm-up get no flow while they are cold, or until they have announced their state after an evacuation. Whether an upstream is cold is an urgent update. When only cold ones are left, flows are refused at once: shared permits are not begun.

Ruled out: a revision for each order, since operators number the revisions; acting on the local state of a replica, which may be behind.

--- a/lycheevalve/__main__.py
+++ b/lycheevalve/__main__.py
@@ -6,6 +6,7 @@
 from lycheevalve.commands.check import check
 from lycheevalve.commands.diff import diff
 from lycheevalve.commands.drain import drain, undrain
+from lycheevalve.commands.evacuate import evacuate, restore
 from lycheevalve.commands.explain import explain
 from lycheevalve.commands.flows import flows
 from lycheevalve.commands.replicas import replicas
@@ -22,10 +23,12 @@
         check,
         diff,
         drain,
+        evacuate,
         explain,
         flows,
         replicas,
         report,
+        restore,
         services,
         status,
         undrain,
--- a/lycheevalve/commands/status.py
+++ b/lycheevalve/commands/status.py
@@ -2,6 +2,7 @@
 
 from lycheevalve.commands import output
 from lycheevalve.commands.client import Client, find_revisions_in_force
+from lycheevalve.coordination.evacuations import get_evacuations
 
 
 def status(overlay, json=False):
@@ -21,8 +22,10 @@
     for upstream in site.upstreams:
         counts = states.setdefault(upstream.registration.data_centre, {})
         counts[upstream.state] = counts.get(upstream.state, 0) + 1
+    evacuated = get_evacuations(site.configuration).data_centres
     data = {
         "accepted_revision": site.accepted,
+        "evacuated": evacuated,
         "in_force": in_force,
         "leader": site.leader,
         "replicas": site.replicas,
@@ -31,7 +34,8 @@
     }
     text = [f"accepted revision {site.accepted}, leader {site.leader or 'none'}"]
     for data_centre in sorted({entry.data_centre for entry in site.instances}):
-        text.append(f"{data_centre}: in force {in_force.get(data_centre, 'unknown')}")
+        state = ", evacuated" if data_centre in evacuated else ""
+        text.append(f"{data_centre}: in force {in_force.get(data_centre, 'unknown')}{state}")
         text += [
             f"  instance {entry.name}: {entry.state}, revision {entry.applied}"
             + (f", replica {entry.role}" if entry.name in site.replicas else "")
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -11,6 +11,7 @@
 import attrs
 
 from lycheevalve.coordination.dissemination import Dissemination
+from lycheevalve.coordination.evacuations import AppliedEvacuations, get_evacuations
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS, Feed, is_renewal
 from lycheevalve.coordination.subscriptions import Subscriptions
 from lycheevalve.coordination.timers import Timers
@@ -61,7 +62,7 @@
     # In the order of their deadlines.
     pending_polls: collections.deque = attrs.field(factory=collections.deque)
     # The latest urgent update and revision that the pending polls were checked for.
-    checked_update: tuple = (0, 0)
+    checked_update: tuple = (0, 0, 0)
     pending_deregistrations: list = attrs.field(factory=list)
     # Set by the owner from its replica of the log: whether that is current, and its members.
     current: bool = False
@@ -84,8 +85,14 @@
             started_at=self.now,
             ready=True,
         )
+        self.evacuations = AppliedEvacuations(self.apply_evacuations)
         self.feed = Feed(
-            self.incarnation, self.upstreams, self.dissemination, self.now, self.data_centre
+            self.incarnation,
+            self.upstreams,
+            self.dissemination,
+            self.evacuations,
+            self.now,
+            self.data_centre,
         )
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.answer_pending, self.now)
         self.timers.subscribe(EXPIRY_INTERVAL_SECONDS, self.feed.publish_expired, self.now)
@@ -177,7 +184,8 @@
 
     def answer_pending(self, now):
         """Answer the pending requests that are complete or past their deadline."""
-        update = (self.feed.urgent_version, self.dissemination.held.revision)
+        held = self.dissemination.held.revision
+        update = (self.feed.urgent_version, held, self.evacuations.number)
         if update != self.checked_update:
             self.checked_update = update
             pending, self.pending_polls = self.pending_polls, collections.deque()
@@ -233,7 +241,12 @@
     def start_polling(self, address, now):
         """Start polling a control replica after its connection opened."""
         if address in self.subscriptions.sources:
-            self.send(address, self.subscriptions.build_poll(address, self.dissemination))
+            self.send(address, self.build_poll(address))
+
+    def build_poll(self, address):
+        """Return the next poll of another replica."""
+        number = self.evacuations.number
+        return self.subscriptions.build_poll(address, self.dissemination, number)
 
     def handle_message(self, sender, message, now):
         """Handle another replica's answer to a poll."""
@@ -245,6 +258,7 @@
             self.subscriptions.choose_active(now)
             for registration in message.registrations:
                 self.apply_registration(registration, now, sender)
+            self.evacuations.adopt(message.evacuations, now)
             self.feed.settled = self.feed.settled or message.settled
             self.dissemination.update_peer(
                 sender, message.applied, message.held, now, message.current
@@ -254,9 +268,16 @@
         self.answer_pending(now)
         if all(name != sender for name, _ in self.messages):
             # While a fetch is queued, the next poll follows the answer to it.
-            self.send(sender, self.subscriptions.build_poll(sender, self.dissemination))
+            self.send(sender, self.build_poll(sender))
 
     def handle_commit(self, configuration, changes, now):
         """Handle a configuration that the replica of the log has committed."""
+        self.evacuations.adopt(get_evacuations(configuration), now)
         self.dissemination.handle_commit(configuration, changes, now)
         self.answer_pending(now)
+
+    def apply_evacuations(self, data_centres, now):
+        """Apply the operators' evacuations."""
+        self.upstreams.set_evacuated(data_centres, now)
+        number = self.evacuations.number
+        self.observe("evacuations", number=number, data_centres=sorted(data_centres))
--- a/lycheevalve/coordination/configuration.py
+++ b/lycheevalve/coordination/configuration.py
@@ -5,6 +5,7 @@
 with the same base revision only one is accepted; the result of the other names
 the winner. Changes are idempotent: the same id always returns the same result.
 A whole configuration is accepted if its revision is the highest so far.
+Evacuations of data centres are part of the configuration, see evacuations.py.
 """
 
 import collections
@@ -12,6 +13,7 @@
 
 import attrs
 
+from lycheevalve.coordination.evacuations import apply_orders, get_evacuations
 from lycheevalve.schema.generated.messages import (
     Acceptance,
     Change,
@@ -37,8 +39,13 @@
 
 def apply_change(configuration, change):
     """Return a new configuration with an accepted change applied."""
+    evacuations = apply_orders(get_evacuations(configuration), change)
+    if change.keeps_revision:
+        return attrs.evolve(configuration, evacuations=evacuations)
     if change.target_revision:
-        return Configuration(change.target_revision, document=change.document)
+        return Configuration(
+            change.target_revision, document=change.document, evacuations=evacuations
+        )
     services = {service.name: service for service in configuration.services}
     for service in change.puts:
         services[service.name] = service
@@ -49,6 +56,7 @@
         revision=configuration.revision + 1,
         services=[services[name] for name in sorted(services)],
         drained=sorted(drained),
+        evacuations=evacuations,
     )
 
 
@@ -95,6 +103,9 @@
     def apply_incremental(self, change):
         """Apply an incremental change unless it conflicts or is invalid; return its result."""
         revision = self.configuration.revision
+        if change.keeps_revision:
+            self.configuration = apply_change(self.configuration, change)
+            return ChangeResult(change.change_id, Outcome.ACCEPTED, revision)
         if change.base_revision != revision and not change.ignore_base:
             winner = self.acceptances.get(change.base_revision + 1)
             name = f"{winner.change_id} by {winner.author}" if winner else ""
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -49,12 +49,13 @@
 
     `number` identifies this start of the feed, since versions restart with it;
     `upstreams` is the table of flows/upstreams.py; `dissemination` holds the
-    configuration.
+    configuration, and `evacuations` is the AppliedEvacuations of evacuations.py.
     """
 
     number: int
     upstreams: object
     dissemination: object
+    evacuations: object
     started_at: float
     data_centre: str = ""
     version: int = 0
@@ -150,6 +151,9 @@
         """Return whether there is an urgent update, so that a poll is answered at once."""
         if poll.feed != self.number or poll.version < self.urgent_version:
             return True
+        # A subscriber of an earlier version reports 0.
+        if 0 < poll.evacuations_applied <= self.evacuations.number:
+            return True
         return poll.told < self.dissemination.held.revision
 
     def is_acknowledged(self, version, now):
@@ -173,7 +177,7 @@
         held, applied = self.dissemination.held.revision, self.dissemination.applied.revision
         settled = self.is_settled(now)
         key = (version, self.version, poll.changes_only, current, held, applied, settled)
-        key = (*key, tuple(controls))
+        key = (*key, tuple(controls), self.evacuations.number)
         if key not in self.answers:
             self.answers[key] = News(
                 applied=applied,
@@ -187,6 +191,7 @@
                 settled=settled,
                 data_centre=self.data_centre,
                 changes_only=poll.changes_only,
+                evacuations=self.evacuations.evacuations,
             )
         return self.answers[key]
 
@@ -234,4 +239,5 @@
         registration.incarnation,
         registration.draining,
         registration.leaving,
+        registration.warm_up_ms > 0,
     )
--- a/lycheevalve/coordination/replication.py
+++ b/lycheevalve/coordination/replication.py
@@ -188,10 +188,12 @@
 
 def apply_entry(replica, entry):
     """Apply a committed change."""
-    before = replica.state_machine.configuration.revision
+    before = replica.state_machine.configuration
     replica.effects.results.append(replica.state_machine.apply(entry.change))
-    if replica.state_machine.configuration.revision > before:
+    after = replica.state_machine.configuration
+    if after.revision > before.revision:
         replica.effects.accepted.append(entry.change)
+    if after is not before:
         replica.effects.configuration_changed = True
 
 
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -177,7 +177,7 @@
         """Return the addresses of the sources to poll."""
         return [address for address, source in self.sources.items() if source.active]
 
-    def build_poll(self, address, dissemination):
+    def build_poll(self, address, dissemination, evacuations_number):
         """Return the next poll of a source."""
         source = self.sources[address]
         source.poll_pending = True
@@ -192,6 +192,7 @@
             process=self.incarnation,
             told=source.reported_revision,
             changes_only=not self.is_control,
+            evacuations_applied=evacuations_number + 1,
         )
 
     def handle_news(self, address, news, now):
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -50,6 +50,7 @@
             forward=self.forward,
             reset=self.reset,
             observe=self.observe,
+            heartbeat_seconds=settings.heartbeat_ms / 1000,
         )
         self.event_handlers[Batch] = self.handle_batch
 
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -11,6 +11,7 @@
 import attrs
 
 from lycheevalve.coordination.dissemination import Dissemination
+from lycheevalve.coordination.evacuations import AppliedEvacuations
 from lycheevalve.coordination.feeds import is_renewal
 from lycheevalve.coordination.subscriptions import LEASE_EXTENSION_SECONDS, Subscriptions
 from lycheevalve.coordination.timers import Timers
@@ -50,6 +51,7 @@
     forward: object
     reset: object
     observe: object = ignore
+    heartbeat_seconds: float = 1.0
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
@@ -63,6 +65,7 @@
     def __attrs_post_init__(self):
         self.timers = Timers()
         self.latencies = Latencies()
+        self.evacuations = AppliedEvacuations(self.apply_evacuations)
         self.upstreams = Upstreams()
         self.subscriptions = Subscriptions(
             self.address, self.data_centre, False, self.incarnation
@@ -76,6 +79,7 @@
             is_synced=self.is_synced,
             lease_time=self.subscriptions.lease_time,
             data_centre=self.data_centre,
+            heartbeat_seconds=self.heartbeat_seconds,
         )
         self.dissemination = Dissemination(
             send=self.send_fetch,
@@ -182,7 +186,9 @@
     def poll(self, address):
         """Poll a control replica unless a poll is in flight."""
         if not self.subscriptions.sources[address].poll_pending:
-            self.send(address, self.subscriptions.build_poll(address, self.dissemination))
+            number = self.evacuations.number
+            poll = self.subscriptions.build_poll(address, self.dissemination, number)
+            self.send(address, poll)
 
     def handle_message(self, sender, message, now):
         """Handle a control replica's response."""
@@ -200,6 +206,7 @@
     def handle_updates(self, sender, update, now):
         """Handle an update of settings and upstreams."""
         self.subscriptions.handle_news(sender, update, now)
+        self.evacuations.adopt(update.evacuations, now)
         self.cookie_router.settings_unconfirmed = False
         for registration in update.registrations:
             if registration.lifetime_ms > 0:
@@ -261,6 +268,12 @@
         self.cookie_router.set_routes(self.read_routes(configuration.document), now)
         self.observe("in_force", revision=configuration.revision)
 
+    def apply_evacuations(self, data_centres, now):
+        """Apply the operators' evacuations: no flow is placed on these data centres."""
+        self.upstreams.set_evacuated(data_centres, now)
+        number = self.evacuations.number
+        self.observe("evacuations", number=number, data_centres=sorted(data_centres))
+
     def count(self, name, **details):
         """Count an event by name and reason, record an answer's latency, and call `observe`."""
         key = (name, details.get("reason", ""))
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -46,6 +46,9 @@
 # An instance without a packet for this long may be out of the fabric's rotation, with
 # its flows moved to another instance.
 OUT_OF_ROTATION_SECONDS = 0.3
+# After the evacuation of a data centre is withdrawn, its upstreams count as cold until each
+# has announced its state: two intervals of announcements and the way.
+REPORT_MARGIN_SECONDS = 0.5
 # How many flows are tracked, and for how long after their last packet.
 MAX_TRACKED_FLOWS = 65_536
 FLOW_IDLE_TIMEOUT_SECONDS = 15.0
@@ -71,6 +74,8 @@
     # The time against which leases are checked; it lags while no replica is reached.
     lease_time: object = lambda now: now
     data_centre: str = ""
+    # How often upstreams announce themselves.
+    heartbeat_seconds: float = 1.0
     cookies: CookieTable = attrs.field(factory=CookieTable)
     routes: dict[tuple, FrontDoorRoute] | None = None
     # No flow is placed until the settings are confirmed after a pause.
@@ -277,7 +282,7 @@
         upstream = self.choose_upstream(route, tried, packet.copy == 0, now)
         if upstream is None:
             if self.is_synced(now):
-                self.reset_flow(packet, "no_upstream")
+                self.reset_flow(packet, self.find_refusal_reason(route, now))
                 return True
             return False
         self.openings[packet.flow_key] = (now, (*tried, upstream))
@@ -292,7 +297,7 @@
         usable = [
             (weight, candidates)
             for service, weight in route.backends
-            if weight > 0 and (candidates := self.candidates(service, now))
+            if weight > 0 and (candidates := self.find_warm(route, service, now))
         ]
         if not usable:
             return None
@@ -305,6 +310,33 @@
             chosen.probed_at = now
         return chosen
 
+    def find_warm(self, route, service, now):
+        """
+        Return the upstreams of a service that may get new flows and have warmed up.
+
+        A cold upstream bears few requests of all instances together, and no instance has
+        the number of the others. The warm ones carry the load until it is warm.
+        """
+        candidates = self.candidates(service, now)
+        if service not in route.warming_services:
+            return candidates
+        report_seconds = 2 * self.heartbeat_seconds + REPORT_MARGIN_SECONDS
+        return [
+            upstream
+            for upstream in candidates
+            if not self.upstreams.is_warming_up(upstream, now, report_seconds)
+        ]
+
+    def find_refusal_reason(self, route, now):
+        """Return why no upstream of a route may get a new flow."""
+        services = [service for service, weight in route.backends if weight > 0]
+        if any(self.candidates(service, now) for service in services):
+            return "warming_up"
+        upstreams = [u for s in services for u in self.upstreams.by_service.get(s, ())]
+        lease_time = self.lease_time(now)
+        evacuated = any(u.evacuated and lease_time < u.expires_at for u in upstreams)
+        return "evacuated" if evacuated else "no_upstream"
+
     def candidates(self, service, now):
         """Return the upstreams of a service that may get new flows."""
         usable = self.upstreams.usable(service, self.lease_time(now))
--- a/lycheevalve/flows/isolation.py
+++ b/lycheevalve/flows/isolation.py
@@ -48,6 +48,8 @@
     registration = upstream.registration
     if upstream.replaced or registration.draining or registration.leaving:
         return False
+    if upstream.evacuated:
+        return False
     return now < upstream.expires_at + UNREACHABLE_RETENTION_SECONDS
 
 
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -41,6 +41,8 @@
     expires_at: float
     reported_at: float
     drained: bool = False
+    # Whether its data centre is evacuated.
+    evacuated: bool = False
     # Requests of this instance in flight there, and flows of this instance on it.
     outstanding: int = 0
     flows: int = 0
@@ -82,7 +84,7 @@
         """Return its state at the time `now`."""
         if now >= self.expires_at or self.registration.leaving:
             return UpstreamState.GONE
-        if self.drained or self.registration.draining:
+        if self.drained or self.evacuated or self.registration.draining:
             return UpstreamState.DRAINING
         return UpstreamState.UP
 
@@ -117,6 +119,9 @@
     by_service: dict[str, list[Upstream]] = attrs.field(factory=dict)
     by_identity: dict[tuple, Upstream] = attrs.field(factory=dict)
     drained: frozenset = frozenset()
+    evacuated: frozenset = frozenset()
+    # When the evacuation of a data centre was withdrawn.
+    restored_at: dict[str, float] = attrs.field(factory=dict)
     next_index: int = 1
 
     def update(self, registration, now):
@@ -142,6 +147,7 @@
     def renew(self, upstream, registration, now):
         """Extend the lease of an upstream and store its load report."""
         upstream.registration = registration
+        upstream.evacuated = registration.data_centre in self.evacuated
         upstream.expires_at = now + registration.lifetime_ms / 1000
         upstream.reported_at = now
         upstream.requests_since_report = 0
@@ -160,6 +166,7 @@
             expires_at=now + registration.lifetime_ms / 1000,
             reported_at=now,
             drained=registration.address in self.drained,
+            evacuated=registration.data_centre in self.evacuated,
         )
         self.next_index += 1
         self.by_address[address] = upstream
@@ -173,6 +180,27 @@
         for upstream in self.by_index.values():
             upstream.drained = upstream.registration.address in self.drained
 
+    def set_evacuated(self, data_centres, now):
+        """Apply the operators' evacuations of data centres."""
+        for data_centre in self.evacuated - data_centres:
+            self.restored_at[data_centre] = now
+        self.evacuated = frozenset(data_centres)
+        for upstream in self.by_index.values():
+            upstream.evacuated = upstream.registration.data_centre in self.evacuated
+
+    def is_warming_up(self, upstream, now, report_seconds):
+        """
+        Return whether an upstream is still cold, as far as it is known.
+
+        Upstreams of a data centre whose evacuation has been withdrawn may have become
+        cold; they count as cold until `report_seconds` later, when all have announced it.
+        """
+        registration = upstream.registration
+        restored_at = self.restored_at.get(registration.data_centre, float("-inf"))
+        if now - restored_at < report_seconds:
+            return True
+        return now < upstream.reported_at + registration.warm_up_ms / 1000
+
     def find(self, address, incarnation):
         """Return the upstream of an address (as text) and incarnation, or None."""
         return self.by_identity.get((address, incarnation))
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lycheevalve.coordination.dissemination import Dissemination
+from lycheevalve.coordination.evacuations import get_evacuations
 from lycheevalve.coordination.membership import (
     PAUSE_THRESHOLD_SECONDS,
     PERIOD_SECONDS,
@@ -346,6 +347,8 @@
         self.router.front_doors = front_doors
         self.router.services = {service.name: service for service in configuration.services}
         self.upstreams.set_drained(configuration.drained)
+        evacuated = get_evacuations(configuration).data_centres
+        self.upstreams.set_evacuated(frozenset(evacuated), now)
         self.membership.local_member.applied = configuration.revision
         self.count("in_force", configuration.revision)
 
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -94,6 +94,12 @@
         "Update of an upstream: up, draining or gone; `source` is the replica that sent it.",
         {**UPSTREAM_FIELDS, "service": str, "data_centre": str, "state": str, "source": str},
     ),
+    Event(
+        "evacuations",
+        INFO,
+        "The evacuated data centres changed; `number` counts the operators' orders.",
+        {"number": int, "data_centres": list},
+    ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
     Event(
         "ready",
@@ -168,7 +174,18 @@
         "A configuration was acknowledged although the same or a newer one is held.",
         {"revision": int, "held": int},
     ),
-    Event("refused", WARNING, "A configuration was refused.", {"reason": str, "peer": str}),
+    Event(
+        "ordered",
+        INFO,
+        "An order about the evacuation of a data centre was accepted.",
+        {"order": str, "data_centre": str},
+    ),
+    Event(
+        "refused",
+        WARNING,
+        "A configuration or an order was refused.",
+        {"reason": str, "peer": str},
+    ),
     Event(
         "unavailable",
         WARNING,
--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -18,6 +18,7 @@
 MAX_PORT = 65_535
 # Route types whose requests are idempotent, so that callers may repeat them.
 IDEMPOTENT_ROUTE_TYPES = ("safe", "download")
+UPLOAD_ROUTE_TYPE = "upload"
 # Level 1 takes a third of the default level's CPU time and an eighth more bytes
 # (350 routes: 0.11 ms and 2,926 bytes, against 0.33 ms and 2,582 bytes).
 COMPRESSION_LEVEL = 1
@@ -49,14 +50,32 @@
 def read_routes(text):
     """Return the routes of a compressed document by (packed address, port)."""
     value = json.loads(zlib.decompress(text))
+    warming = frozenset(
+        service["name"]
+        for service in value.get("services", ())
+        if is_number(service.get("warmupS")) and service["warmupS"] > 0
+    )
     return {
-        read_front_door_address(route): FrontDoorRoute(
-            read_backends(route), route.get("routeType") in IDEMPOTENT_ROUTE_TYPES
-        )
+        read_front_door_address(route): read_route(route, warming)
         for route in value.get("routes", ())
     }
 
 
+def read_route(route, warming):
+    """Return the FrontDoorRoute of a route; `warming` are the services with a warm-up."""
+    backends = read_backends(route)
+    latency_ms, priority = route.get("targetLatencyMs"), route.get("priority")
+    return FrontDoorRoute(
+        backends,
+        idempotent=route.get("routeType") in IDEMPOTENT_ROUTE_TYPES,
+        warming_services=warming & {service for service, _ in backends},
+        priority=priority if is_integer(priority) else 0,
+        uploads=route.get("routeType") == UPLOAD_ROUTE_TYPE,
+        target_latency_seconds=latency_ms / 1000 if is_number(latency_ms) else 0.0,
+        timeout_seconds=route["timeoutMs"] / 1000,
+    )
+
+
 def read_front_door_address(route):
     """Return the (packed address, port) of a route's front door."""
     return socket.inet_aton(route["host"]), int(route["pathPrefix"].strip("/"))
@@ -75,6 +94,11 @@
     return isinstance(value, int) and not isinstance(value, bool) and value >= minimum
 
 
+def is_number(value):
+    """Return whether a value is a number of at least 0."""
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and value >= 0
+
+
 def require(condition, reason):
     """Raise SettingsError unless the condition holds."""
     if not condition:
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -1,6 +1,7 @@
 """The HTTP API of a control replica for the platform's operators and targets."""
 
 import functools
+import uuid
 
 from lycheevalve.daemon.http import Response, Server, build_error, build_json
 from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
@@ -12,6 +13,9 @@
 # Method and path of each call; the id of a target follows the path of its calls.
 REPLACE = ("POST", "/Config.Replace")
 READ = ("GET", "/Config.Read")
+# The name of a data centre follows the path of these calls.
+EVACUATE = ("POST", "/Evacuations.Start/")
+RESTORE = ("POST", "/Evacuations.Stop/")
 HEARTBEAT = ("POST", "/Instances.Heartbeat/")
 DEREGISTER = ("POST", "/Instances.Deregister/")
 
@@ -36,11 +40,15 @@
 
 
 def find_call(method, path):
-    """Return (handler, target's id) of a call; the handler is None for an unknown call."""
+    """
+    Return (handler, name) of a call; the handler is None for an unknown call.
+
+    The name is the target's id or the data centre at the end of the path.
+    """
     handle = OPERATOR_CALLS.get((method, path))
     if handle is not None:
         return handle, ""
-    for (call_method, prefix), handle in TARGET_CALLS.items():
+    for (call_method, prefix), handle in NAMED_CALLS.items():
         if method == call_method and path.startswith(prefix):
             return handle, path.removeprefix(prefix)
     return None, ""
@@ -76,6 +84,40 @@
     return Response(200, decompress_document(configuration.document))
 
 
+async def evacuate(process, data_centre, request):
+    """Order that the targets of a zone get no new flows."""
+    return await order(process, data_centre, request, evacuates=[data_centre])
+
+
+async def restore(process, data_centre, request):
+    """Withdraw the order to evacuate a zone."""
+    return await order(process, data_centre, request, restores=[data_centre])
+
+
+async def order(process, data_centre, request, **orders):
+    """Propose an order about a data centre; acknowledge it once a quorum has stored it."""
+    reason, status = find_order_error(process.settings.data_centres, data_centre, request.body)
+    if reason:
+        record("refused", reason=reason, peer=request.peer)
+        return build_error(status, reason)
+    # A call that the operator sends again is another order; it changes nothing by itself.
+    # Replicas of an earlier version refuse it by its base revision.
+    change = Change(uuid.uuid4().hex, base_revision=-1, keeps_revision=True, **orders)
+    await process.propose(change)
+    record("ordered", order=next(iter(orders)), data_centre=data_centre)
+    return build_json(200, {})
+
+
+def find_order_error(data_centres, data_centre, body):
+    """Return why an order is refused, or an empty string, and the HTTP status."""
+    if body.strip() not in (b"", b"{}"):
+        return "an order about a data centre has no body", 400
+    if not data_centre or (data_centres and data_centre not in data_centres):
+        known = ", ".join(sorted(data_centres))
+        return f"unknown data centre {data_centre!r}; the site has {known}", 404
+    return "", 0
+
+
 async def heartbeat(process, name, request):
     """Register a target from its heartbeat."""
     try:
@@ -94,4 +136,9 @@
 
 
 OPERATOR_CALLS = {REPLACE: replace, READ: read}
-TARGET_CALLS = {HEARTBEAT: heartbeat, DEREGISTER: deregister}
+NAMED_CALLS = {
+    HEARTBEAT: heartbeat,
+    DEREGISTER: deregister,
+    EVACUATE: evacuate,
+    RESTORE: restore,
+}
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -191,6 +191,18 @@
   // own format; the highest number wins.
   9: i64 target_revision
   10: binary document
+  // Data centres to evacuate and to restore.
+  11: list<string> evacuates
+  12: list<string> restores
+  // The evacuations are numbered apart from the revision, which operators assign.
+  13: bool keeps_revision
+}
+
+// The evacuated data centres: their upstreams get no new work. `number` counts the accepted
+// orders that changed them; the highest holds.
+struct Evacuations {
+  1: i64 number
+  2: list<string> data_centres
 }
 
 struct ChangeResult {
@@ -207,6 +219,7 @@
   3: list<string> drained
   // The operators' document, compressed; empty if there is none.
   4: binary document
+  5: Evacuations evacuations
 }
 
 // Author of a revision, named in the refusal of changes that conflict with it.
@@ -391,6 +404,9 @@
   9: i64 told
   // Renewals of leases are left out; a lease holds until the source reports its expiry.
   10: bool changes_only
+  // One more than the number of the evacuations that the subscriber applies, so that 0 stands
+  // for a subscriber that does not know them.
+  11: i64 evacuations_applied
 }
 
 // Update of configuration, upstreams and control replicas, sent by a control replica.
@@ -410,6 +426,7 @@
   10: bool changes_only
   // The data centres of `controls`, in their order; empty where the sender has none.
   11: list<string> control_data_centres
+  12: Evacuations evacuations
 }
 
 struct ReadRequest {
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -71,4 +71,8 @@
   16: string log_level = "INFO"
   // Address of the Prometheus metrics; empty for none.
   17: string metrics = ""
+  // The data centres of the site, which evacuations may name; empty if they are not known.
+  18: list<string> data_centres
+  // Capacity of the network link of the machine; 0 if it is not known.
+  19: double link_mbps = 0.0
 }
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -259,7 +259,6 @@
         world.run(1.0)
         assert world.false_resets == []
 
-
     def test_flow_that_moves_here_is_not_reset_by_its_first_packet(self):
         """
         Evidence of before may be out of date when the fabric moves a flow to an instance.
--- a/lycheevalve/tests/test_large_fleet.py
+++ b/lycheevalve/tests/test_large_fleet.py
@@ -213,7 +213,7 @@
         control = fleet.running[fleet.seeds[0]]
         entries = [fleet.running[address] for address in fleet.entries]
         polls = [
-            entry.subscriptions.build_poll(fleet.seeds[0], entry.dissemination)
+            entry.subscriptions.build_poll(fleet.seeds[0], entry.dissemination, 0)
             for entry in entries
         ]
         for poll in polls:
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -132,14 +132,32 @@
 
     def test_front_doors(self):
         text = read_document(encode(build_value())).text
-        assert read_routes(text) == {FRONT_DOOR: FrontDoorRoute((("a", 1),), idempotent=True)}
+        route = FrontDoorRoute((("a", 1),), idempotent=True, timeout_seconds=1.5)
+        assert read_routes(text) == {FRONT_DOOR: route}
 
     def test_weights(self):
         value = build_value(
             service=None, weightedBackends=WEIGHTED_BACKENDS, routeType="unsafe"
         )
         routes = read_routes(read_document(encode(value)).text)
-        assert routes == {FRONT_DOOR: FrontDoorRoute((("a", 90), ("b", 10)), idempotent=False)}
+        backends = (("a", 90), ("b", 10))
+        route = FrontDoorRoute(backends, idempotent=False, timeout_seconds=1.5)
+        assert routes == {FRONT_DOOR: route}
+
+    def test_load_of_a_route(self):
+        value = build_value(routeType="upload", targetLatencyMs=800, priority=2)
+        value["services"][0] |= {"warmupS": 2.0, "warmupPerS": 0.0}
+        (route,) = read_routes(read_document(encode(value)).text).values()
+        assert (route.uploads, route.priority, route.target_latency_seconds) == (True, 2, 0.8)
+        assert route.warming_services == {value["services"][0]["name"]}
+
+    @pytest.mark.parametrize("value", [None, "2", -1, True, []])
+    def test_unreadable_load_of_a_route_counts_as_none(self, value):
+        document = build_value(targetLatencyMs=value, priority=value)
+        document["services"][0]["warmupS"] = value
+        (route,) = read_routes(read_document(encode(document)).text).values()
+        assert (route.priority, route.target_latency_seconds) == (0, 0.0)
+        assert route.warming_services == frozenset()
 
     @pytest.mark.parametrize(
         "changes",
@@ -278,6 +296,7 @@
         """The settings that the calls read."""
 
         heartbeat_ms = 770
+        data_centres = ("ikeja-a", "ikeja-b")
 
     def __init__(self, held=0, leaderless=False):
         self.settings = self.Settings()
@@ -374,6 +393,45 @@
         assert call(process, "POST", path, b"\x00").status == 400
         assert process.announced == []
 
+    @pytest.mark.parametrize(
+        ("verb", "orders"),
+        [("Start", (["ikeja-a"], [])), ("Stop", ([], ["ikeja-a"]))],
+    )
+    @pytest.mark.parametrize("body", [b"", b"{}"])
+    def test_order_about_a_data_centre_is_proposed(self, verb, orders, body):
+        process = FakeProcess()
+        assert call(process, "POST", f"/Evacuations.{verb}/ikeja-a", body).status == 200
+        (change,) = process.proposed
+        assert (change.evacuates, change.restores) == orders
+        assert change.keeps_revision
+
+    def test_order_that_is_sent_again_is_another_change(self):
+        process = FakeProcess()
+        for _ in range(2):
+            assert call(process, "POST", "/Evacuations.Start/ikeja-a").status == 200
+        assert len({change.change_id for change in process.proposed}) == 2
+
+    @pytest.mark.parametrize(
+        ("name", "body", "status"),
+        [
+            ("ikeja-z", b"", 404),
+            ("", b"", 404),
+            ("ikeja-a/", b"", 404),
+            ("ikeja-a", b'{"zone": "ikeja-a"}', 400),
+            ("ikeja-a", b"\xff", 400),
+        ],
+    )
+    def test_invalid_order_is_refused_with_a_reason(self, name, body, status):
+        process = FakeProcess()
+        response = call(process, "POST", f"/Evacuations.Start/{name}", body)
+        assert response.status == status
+        assert b"data centre" in response.body
+        assert process.proposed == []
+
+    def test_without_a_leader_no_order_is_acknowledged(self):
+        process = FakeProcess(leaderless=True)
+        assert call(process, "POST", "/Evacuations.Start/ikeja-a").status == 503
+
     def test_unknown_call(self):
         assert call(FakeProcess(), "GET", "/elsewhere").status == 404
         assert call(FakeProcess(), "GET", "/Config.Replace").status == 404
