Pace what an instance forwards to its own link

Ruled out: the link to the instance (copies arrive within 0.2 ms of each other), the upstreams (their last packet of the flow was seconds old).

Change: flows/link_scheduler.py paces packets to nine tenths of the link, where settings give its capacity and it is so small that a window takes more than 10 ms. Requests and acknowledgements go first, then opening packets, then the data of uploads, by the priority of the route, with deficit round robin among flows and a quarter for uploads. A copy of what still waits is not sent, queues are bounded in bytes and age, and a new flow is refused at once if its data would be late. The time at which a packet leaves counts as evidence, not that of its arrival.

--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -51,6 +51,7 @@
             reset=self.reset,
             observe=self.observe,
             heartbeat_seconds=settings.heartbeat_ms / 1000,
+            link_mbps=settings.link_mbps,
         )
         self.event_handlers[Batch] = self.handle_batch
 
@@ -80,7 +81,7 @@
             except DatagramError as error:
                 self.logic.count("bad_packet", error=error.reason)
                 continue
-            self.logic.cookie_router.handle_packet(packet, now)
+            self.logic.handle_packet(packet, now)
 
     def list_metrics(self):
         """Return the metrics of an entry instance."""
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -16,7 +16,9 @@
 from lycheevalve.coordination.subscriptions import LEASE_EXTENSION_SECONDS, Subscriptions
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.flows.cookie_routing import CookieRouter
+from lycheevalve.flows.front_doors import UNKNOWN_ROUTE
 from lycheevalve.flows.isolation import has_local_capacity, reaches_other_data_centres
+from lycheevalve.flows.link_scheduler import build_scheduler
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.reports.latencies import Latencies
 from lycheevalve.schema.generated import messages
@@ -52,10 +54,13 @@
     reset: object
     observe: object = ignore
     heartbeat_seconds: float = 1.0
+    # Capacity of the own link; 0 if it is not known.
+    link_mbps: float = 0.0
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
     is_tick_urgent: bool = False
+    is_release_due: bool = False
     # The sources that report leases.
     lease_sources: list = attrs.field(factory=list)
     # What all leases were last checked with: these sources, the numbers of their feeds, and
@@ -70,10 +75,17 @@
         self.subscriptions = Subscriptions(
             self.address, self.data_centre, False, self.incarnation
         )
+        self.link = build_scheduler(
+            self.link_mbps,
+            transmit=lambda item: self.forward(*item),
+            departed=lambda packet, now: self.cookie_router.record_departure(packet, now),
+            drop=self.drop_waiting,
+        )
         self.cookie_router = CookieRouter(
             upstreams=self.upstreams,
             random=self.random,
-            forward=self.forward,
+            forward=self.forward if self.link is None else self.submit,
+            link=self.link,
             reset=self.reset,
             observe=self.count,
             is_synced=self.is_synced,
@@ -102,6 +114,37 @@
             self.is_tick_urgent = True
             self.timers.call_once(self.run_urgent_tick, now + URGENT_TICK_INTERVAL_SECONDS)
 
+    # Packets before the own link.
+
+    def handle_packet(self, packet, now):
+        """Handle a caller's packet."""
+        self.now = now
+        self.cookie_router.handle_packet(packet, now)
+
+    def submit(self, upstream, cookie, packet):
+        """Forward a packet through the schedule of the own link."""
+        routes = self.cookie_router.routes or {}
+        route = routes.get(packet.front_door, UNKNOWN_ROUTE)
+        item = (upstream, cookie, packet)
+        self.link.submit(packet, route, item, len(packet.raw), self.now)
+        self.schedule_release()
+
+    def schedule_release(self):
+        """Call `release_waiting` when waiting packets may leave."""
+        if not self.is_release_due and not self.link.is_idle:
+            self.is_release_due = True
+            self.timers.call_once(self.release_waiting, self.link.next_release(self.now))
+
+    def release_waiting(self, now):
+        """Send the waiting packets for which the own link has room."""
+        self.is_release_due = False
+        self.link.release(now)
+        self.schedule_release()
+
+    def drop_waiting(self, packet, reason, since, now):
+        """Count a packet that was dropped before the own link."""
+        self.cookie_router.drop_held(since, packet, reason, now)
+
     def run_urgent_tick(self, now):
         """Tick the cookie router between its periodic ticks."""
         self.is_tick_urgent = False
@@ -139,6 +182,8 @@
     def handle_resume(self, now):
         """Hold new flows until the next update: settings may have changed during the pause."""
         self.cookie_router.settings_unconfirmed = True
+        if self.link is not None:
+            self.link.discard_all()
         self.cookie_router.handle_resume()
 
     def is_ready(self, now):
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -74,6 +74,8 @@
     # The time against which leases are checked; it lags while no replica is reached.
     lease_time: object = lambda now: now
     data_centre: str = ""
+    # The LinkScheduler before the own link, or None without one.
+    link: object = None
     # How often upstreams announce themselves.
     heartbeat_seconds: float = 1.0
     cookies: CookieTable = attrs.field(factory=CookieTable)
@@ -113,6 +115,10 @@
     def handle_packet(self, packet, now):
         """Route a caller's packet, or hold it."""
         self.last_packet_at = now
+        if self.link is not None and self.link.is_waiting(packet):
+            # The upstream has not received the first copy yet.
+            self.observe("copy_dropped")
+            return
         if not self.try_handle_packet(packet, now):
             self.hold(packet, now)
 
@@ -279,6 +285,9 @@
             record_retransmission(tried[-1], now)
             record_silence(tried[-1], packet.flow_key, at, now, acknowledged_at_once=True)
             self.retransmitted_at = now
+        if not packet.copy and self.link is not None and not self.link.can_accept(route):
+            self.reset_flow(packet, "link_backlog")
+            return True
         upstream = self.choose_upstream(route, tried, packet.copy == 0, now)
         if upstream is None:
             if self.is_synced(now):
@@ -310,6 +319,16 @@
             chosen.probed_at = now
         return chosen
 
+    def record_departure(self, packet, now):
+        """Record when a packet that waited for the own link has left."""
+        if packet.opens:
+            if packet.flow_key in self.openings:
+                self.openings[packet.flow_key] = (now, self.openings[packet.flow_key][1])
+            return
+        flow = self.flows.get(packet.flow_key)
+        if flow is not None and packet.size:
+            flow.sent_at = now
+
     def find_warm(self, route, service, now):
         """
         Return the upstreams of a service that may get new flows and have warmed up.
