Find a data centre that is cut off by its silent flows together

Ruled out: resets after the first retransmission (a slow data centre looks the same in the state machine).

Change: three silent flows on two upstreams of a data centre of which none answers agree like two flows on one upstream. Its flows are reset as those of a failed upstream, and new ones avoid it for 1.5 s at a time.

Tests: TestSilentDataCentre (leaves within the second retransmission, one answer ends it, it gets flows again); the state machine has two data centres.

--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -13,7 +13,13 @@
 import attrs
 
 from lycheevalve.flows.cookies import CookieTable
-from lycheevalve.flows.failure_evidence import Deliveries, has_failed, record_silence
+from lycheevalve.flows.failure_evidence import (
+    AVOIDANCE_SECONDS,
+    Deliveries,
+    find_silent_data_centres,
+    has_failed,
+    record_silence,
+)
 from lycheevalve.flows.front_doors import UNKNOWN_ROUTE, FrontDoorRoute
 from lycheevalve.flows.load import decayed_failure_count
 from lycheevalve.flows.passive_health import (
@@ -87,6 +93,8 @@
     openings: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     held: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     deliveries: Deliveries = attrs.field(factory=Deliveries)
+    # When a data centre was found silent.
+    silent_since: dict[str, float] = attrs.field(factory=dict)
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
     rebalanced_at: float = float("-inf")
@@ -206,8 +214,27 @@
 
     def is_failed(self, upstream, now):
         """Return whether an upstream has failed beyond doubt, so that flows may be reset."""
+        if self.is_in_silent_data_centre(upstream, now):
+            return True
         return is_unresponsive_now(upstream, now) and has_failed(upstream, self.deliveries, now)
 
+    def is_in_silent_data_centre(self, upstream, now):
+        """Return whether an upstream's data centre was found silent and has not answered."""
+        since = self.silent_since.get(upstream.registration.data_centre)
+        if since is None or now - since > AVOIDANCE_SECONDS:
+            return False
+        return upstream.answered_at < since
+
+    def update_silent_data_centres(self, now):
+        """Find the data centres that are silent, while callers retransmit."""
+        if now - self.retransmitted_at > MAX_RETRANSMIT_INTERVAL_SECONDS:
+            return
+        upstreams = self.upstreams.by_index.values()
+        for name in find_silent_data_centres(upstreams, self.deliveries, now):
+            if now - self.silent_since.get(name, float("-inf")) > AVOIDANCE_SECONDS:
+                self.observe("data_centre_silent", data_centre=name)
+                self.silent_since[name] = now
+
     def has_alternative(self, upstream, now):
         """Return whether another upstream of the service is healthy."""
         others = self.candidates(upstream.service, now)
@@ -312,7 +339,8 @@
             return None
         weights = [weight for weight, _ in usable]
         candidates = self.random.choices([c for _, c in usable], weights)[0]
-        candidates = exclude_unresponsive(candidates, may_probe, now)
+        reached = [u for u in candidates if not self.is_in_silent_data_centre(u, now)]
+        candidates = exclude_unresponsive(reached or candidates, may_probe, now)
         untried = [upstream for upstream in candidates if upstream not in tried]
         chosen = min(untried or candidates, key=lambda u: self.cost(u, now))
         if is_unresponsive(chosen, now):
@@ -409,6 +437,7 @@
     def tick(self, now):
         """Retry held packets, reset flows on unresponsive upstreams, evict idle records."""
         self.retry_held(now)
+        self.update_silent_data_centres(now)
         self.reset_unresponsive_flows(now)
         self.reset_flows_of_replaced_upstreams(now)
         self.evict_oldest(
@@ -437,6 +466,7 @@
         self.flows.clear()
         self.openings.clear()
         self.deliveries.clear()
+        self.silent_since.clear()
         for upstream in self.upstreams.by_index.values():
             upstream.flows = upstream.unanswered = 0
             upstream.silences.clear()
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -13,6 +13,9 @@
 - Opening packets and every second data packet are acknowledged at once, by a busy
   upstream too. A single data packet is acknowledged by its answer.
 - One caller or its path may fail, so two flows have to agree unless one waits for long.
+
+Where few flows use each upstream, those of a data centre that is cut off agree with each
+other: several of its upstreams are silent, and none of them answers anyone here.
 """
 
 import bisect
@@ -31,6 +34,11 @@
 # retransmission to its third, so that the evidence of two flows can meet.
 EVIDENCE_SECONDS = 0.8
 DELIVERY_RETENTION_SECONDS = 4.0
+# A data centre is silent if this many flows on this many of its upstreams are.
+DATA_CENTRE_FLOWS = 3
+DATA_CENTRE_UPSTREAMS = 2
+# A silent data centre gets no new flow for this long; then a few flows find out.
+AVOIDANCE_SECONDS = 1.5
 
 
 @attrs.define
@@ -122,3 +130,31 @@
 def answer_time(silence):
     """Return how many seconds a working upstream may take to answer."""
     return ACKNOWLEDGEMENT_SECONDS if silence.acknowledged_at_once else ANSWER_SECONDS
+
+
+def find_silent_data_centres(upstreams, deliveries, now):
+    """Return the data centres whose upstreams all seem unreachable, as a set of names."""
+    answered_at, silent = {}, {}
+    for upstream in upstreams:
+        name = upstream.registration.data_centre
+        answered_at[name] = max(answered_at.get(name, 0.0), upstream.answered_at)
+        if upstream.silences:
+            silent.setdefault(name, []).append(upstream)
+    return {
+        name
+        for name, members in silent.items()
+        if is_data_centre_silent(members, answered_at[name], deliveries, now)
+    }
+
+
+def is_data_centre_silent(upstreams, answered_at, deliveries, now):
+    """Return whether enough flows on enough upstreams of a data centre are silent."""
+    flows = [0] * len(upstreams)
+    for number, upstream in enumerate(upstreams):
+        for silence in upstream.silences.values():
+            left_by = deliveries.left_by(silence.sent_at)
+            if left_by is None or now - silence.repeated_at > EVIDENCE_SECONDS:
+                continue
+            wait = silence.repeated_at - max(left_by, answered_at)
+            flows[number] += wait >= answer_time(silence)
+    return sum(flows) >= DATA_CENTRE_FLOWS and sum(map(bool, flows)) >= DATA_CENTRE_UPSTREAMS
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -100,6 +100,12 @@
         "The evacuated data centres changed; `number` counts the operators' orders.",
         {"number": int, "data_centres": list},
     ),
+    Event(
+        "data_centre_silent",
+        WARNING,
+        "No upstream of a data centre answers this instance, while others do.",
+        {"data_centre": str},
+    ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
     Event(
         "ready",
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -42,8 +42,10 @@
     long an upstream works on a request.
     """
 
-    def __init__(self, upstreams=3):
+    def __init__(self, upstreams=3, remote=0):
         self.entry = build_entry(upstreams)
+        for number in range(upstreams + 1, upstreams + remote + 1):
+            self.entry.update_upstreams(build_registration(number, data_centre="dc2"))
         self.now = 0.0
         self.events, self.numbers = [], itertools.count()
         self.callers = []
@@ -315,6 +317,81 @@
         assert failure_evidence.has_failed(dark, router.deliveries, world.now)
 
 
+class TestSilentDataCentre:
+    """A data centre is cut off, and each of its upstreams has one or two flows here."""
+
+    LEAVE_SECONDS = 0.8
+
+    def build(self):
+        """Return a world with open flows on three upstreams of each of two data centres."""
+        world = World(3, remote=3)
+        for _ in range(9):
+            world.start_flow()
+        world.run(0.1)
+        for caller in world.callers:
+            world.request(caller)
+        world.run(0.3)
+        return world
+
+    def run_requests(self, world, seconds):
+        """Send requests on all flows again and again."""
+        for _ in range(round(seconds / 0.1)):
+            for caller in world.callers:
+                world.request(caller)
+            world.run(0.1)
+
+    def remote_callers(self, world):
+        """Return the callers whose flows are on upstreams of the other data centre."""
+        return [
+            caller
+            for caller in world.callers
+            if caller.upstream.registration.data_centre == "dc2"
+        ]
+
+    def test_all_flows_leave_it_within_the_second_retransmission(self):
+        world = self.build()
+        for index in (4, 5, 6):
+            world.darken(index)
+        failed_at = world.now
+        self.run_requests(world, 1.0)
+        assert self.remote_callers(world)
+        assert all(caller.closed for caller in self.remote_callers(world))
+        assert max(at for at, _ in world.sound_resets) - failed_at <= self.LEAVE_SECONDS
+        assert world.false_resets == []
+
+    def test_new_flows_avoid_it(self):
+        world = self.build()
+        for index in (4, 5, 6):
+            world.darken(index)
+        self.run_requests(world, 0.8)
+        callers = [world.start_flow() for _ in range(20)]
+        world.run(0.1)
+        assert {c.upstream.registration.data_centre for c in callers} == {"dc1"}
+
+    def test_one_answer_ends_the_silence(self):
+        world = self.build()
+        for index in (4, 5):
+            world.darken(index)
+        self.run_requests(world, 2.0)
+        assert world.false_resets == []
+        assert world.entry.cookie_router.silent_since == {}
+
+    def test_it_gets_flows_again_once_it_is_reached(self):
+        world = self.build()
+        for index in (4, 5, 6):
+            world.darken(index)
+        self.run_requests(world, 1.0)
+        for index in (4, 5, 6):
+            world.revive(index)
+        world.run(failure_evidence.AVOIDANCE_SECONDS + 1.0)
+        for index in (4, 5, 6):
+            renewed = build_registration(index, data_centre="dc2", sequence=2)
+            world.entry.update_upstreams(renewed, now=world.now)
+        callers = [world.start_flow() for _ in range(30)]
+        world.run(0.1)
+        assert "dc2" in {c.upstream.registration.data_centre for c in callers}
+
+
 class TestDeliveries:
     """A packet has left the instance once a later one was answered."""
 
@@ -352,8 +429,8 @@
 
     @initialize()
     def start(self):
-        self.world = World()
-        for _ in range(9):
+        self.world = World(2, remote=2)
+        for _ in range(12):
             self.world.start_flow()
         self.world.run(0.1)
 
@@ -375,7 +452,7 @@
     def congest_inbound(self, delay):
         self.world.inbound_delay = delay
 
-    @rule(index=st.integers(1, 3), seconds=st.sampled_from((0.01, 0.05, 0.2, 0.45)))
+    @rule(index=st.integers(1, 4), seconds=st.sampled_from((0.01, 0.05, 0.2, 0.45)))
     def change_speed(self, index, seconds):
         self.world.answer_seconds[index] = seconds
 
@@ -389,11 +466,11 @@
     def pause(self, seconds):
         self.world.paused_until = self.world.now + seconds
 
-    @rule(index=st.integers(1, 3))
+    @rule(index=st.integers(1, 4))
     def darken(self, index):
         self.world.darken(index)
 
-    @rule(index=st.integers(1, 3))
+    @rule(index=st.integers(1, 4))
     def revive(self, index):
         self.world.revive(index)
 
