Remember failed upstreams, so that one silent flow suffices until they answer

In the window after the first seconds of zone_cut 21 requests failed where the old code lost none: evidence expired after 0.8 s, and each later flow on a dark upstream had to wait for evidence of its own, longer than its caller's deadline of 1.5 s.

Change: an upstream or data centre that has failed is remembered for 3 s, renewed by each further silent flow and ended by any answer. The wait of a silent flow ends with the departure of the last answered packet, which proves more than the arrival of its own retransmission and comes sooner.

Ruled out: shorter waits for several flows on one upstream, since a full queue of ten requests on two slots takes 0.36 s.

--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -230,10 +230,11 @@
         if now - self.retransmitted_at > MAX_RETRANSMIT_INTERVAL_SECONDS:
             return
         upstreams = self.upstreams.by_index.values()
-        for name in find_silent_data_centres(upstreams, self.deliveries, now):
+        found = find_silent_data_centres(upstreams, self.deliveries, self.silent_since, now)
+        for name in found:
             if now - self.silent_since.get(name, float("-inf")) > AVOIDANCE_SECONDS:
                 self.observe("data_centre_silent", data_centre=name)
-                self.silent_since[name] = now
+            self.silent_since[name] = now
 
     def has_alternative(self, upstream, now):
         """Return whether another upstream of the service is healthy."""
@@ -470,6 +471,7 @@
         for upstream in self.upstreams.by_index.values():
             upstream.flows = upstream.unanswered = 0
             upstream.silences.clear()
+            upstream.silent_since = float("-inf")
 
     def evict_expired(self, now):
         """Evict upstreams that expired long ago, and their cookies."""
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -8,12 +8,14 @@
 
 - A packet counts only from the moment at which it has provably left this instance. The
   link is a queue: once any later packet has been answered, all earlier ones have left.
-- A retransmission counts by its arrival, not by the time that has passed since: packets
-  to this instance queue too, and it may have been sent before the answer arrived.
+- Time counts up to the arrival of the last retransmission, or to the departure of the
+  last packet that has been answered: packets to this instance queue too, and an answer
+  may be on its way.
 - Opening packets and every second data packet are acknowledged at once, by a busy
   upstream too. A single data packet is acknowledged by its answer.
 - One caller or its path may fail, so two flows have to agree unless one waits for long.
 
+An upstream that has failed is remembered until it answers: then one silent flow suffices.
 Where few flows use each upstream, those of a data centre that is cut off agree with each
 other: several of its upstreams are silent, and none of them answers anyone here.
 """
@@ -33,6 +35,8 @@
 # Evidence without a further retransmission expires: the time from a caller's second
 # retransmission to its third, so that the evidence of two flows can meet.
 EVIDENCE_SECONDS = 0.8
+# An upstream or data centre that has failed may have recovered unnoticed after this time.
+MEMORY_SECONDS = 3.0
 DELIVERY_RETENTION_SECONDS = 4.0
 # A data centre is silent if this many flows on this many of its upstreams are.
 DATA_CENTRE_FLOWS = 3
@@ -63,6 +67,10 @@
             kept = bisect.bisect(self.proved_at, now - DELIVERY_RETENTION_SECONDS)
             del self.sent_at[:kept], self.proved_at[:kept]
 
+    def last_sent_at(self):
+        """Return when the last packet that has been answered was forwarded."""
+        return self.sent_at[-1] if self.sent_at else float("-inf")
+
     def left_by(self, sent_at):
         """Return by when a packet forwarded at `sent_at` had left, or None if unknown."""
         index = bisect.bisect_left(self.sent_at, sent_at)
@@ -107,24 +115,33 @@
         if now - silence.repeated_at > EVIDENCE_SECONDS:
             del upstream.silences[key]
     waits = [
-        (silence, measure_wait(upstream, silence, deliveries))
+        (silence, measure_wait(silence, upstream.answered_at, deliveries))
         for silence in upstream.silences.values()
     ]
     overdue = [silence for silence, wait in waits if wait >= answer_time(silence)]
-    if len(overdue) >= AGREEING_FLOWS:
-        return True
-    return any(
+    failed = len(overdue) >= AGREEING_FLOWS or any(
         silence.copies >= SINGLE_FLOW_COPIES and wait >= SINGLE_FLOW_SECONDS
         for silence, wait in waits
     )
+    if not failed and is_remembered(upstream.silent_since, upstream.answered_at, now):
+        failed = any(wait >= ACKNOWLEDGEMENT_SECONDS for _, wait in waits)
+    if failed:
+        upstream.silent_since = now
+    return failed
+
+
+def is_remembered(silent_since, answered_at, now):
+    """Return whether what failed has not answered since, and that is not long ago."""
+    return now - silent_since < MEMORY_SECONDS and answered_at < silent_since
 
 
-def measure_wait(upstream, silence, deliveries):
-    """Return for how many seconds an upstream provably had left a packet unanswered."""
+def measure_wait(silence, answered_at, deliveries):
+    """Return for how many seconds a packet has provably been unanswered."""
     left_by = deliveries.left_by(silence.sent_at)
     if left_by is None:
         return 0.0
-    return silence.repeated_at - max(left_by, upstream.answered_at)
+    until = max(silence.repeated_at, deliveries.last_sent_at())
+    return until - max(left_by, answered_at)
 
 
 def answer_time(silence):
@@ -132,8 +149,12 @@
     return ACKNOWLEDGEMENT_SECONDS if silence.acknowledged_at_once else ANSWER_SECONDS
 
 
-def find_silent_data_centres(upstreams, deliveries, now):
-    """Return the data centres whose upstreams all seem unreachable, as a set of names."""
+def find_silent_data_centres(upstreams, deliveries, silent_since, now):
+    """
+    Return the data centres whose upstreams all seem unreachable, as a set of names.
+
+    `silent_since` has the time at which each was last found silent.
+    """
     answered_at, silent = {}, {}
     for upstream in upstreams:
         name = upstream.registration.data_centre
@@ -143,18 +164,29 @@
     return {
         name
         for name, members in silent.items()
-        if is_data_centre_silent(members, answered_at[name], deliveries, now)
+        if is_data_centre_silent(
+            members,
+            answered_at[name],
+            deliveries,
+            is_remembered(silent_since.get(name, float("-inf")), answered_at[name], now),
+            now,
+        )
     }
 
 
-def is_data_centre_silent(upstreams, answered_at, deliveries, now):
-    """Return whether enough flows on enough upstreams of a data centre are silent."""
+def is_data_centre_silent(upstreams, answered_at, deliveries, remembered, now):
+    """
+    Return whether enough flows on enough upstreams of a data centre are silent.
+
+    One suffices if it is remembered as silent.
+    """
     flows = [0] * len(upstreams)
     for number, upstream in enumerate(upstreams):
         for silence in upstream.silences.values():
-            left_by = deliveries.left_by(silence.sent_at)
-            if left_by is None or now - silence.repeated_at > EVIDENCE_SECONDS:
+            if now - silence.repeated_at > EVIDENCE_SECONDS:
                 continue
-            wait = silence.repeated_at - max(left_by, answered_at)
-            flows[number] += wait >= answer_time(silence)
+            limit = ACKNOWLEDGEMENT_SECONDS if remembered else answer_time(silence)
+            flows[number] += measure_wait(silence, answered_at, deliveries) >= limit
+    if remembered:
+        return any(flows)
     return sum(flows) >= DATA_CENTRE_FLOWS and sum(map(bool, flows)) >= DATA_CENTRE_UPSTREAMS
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -64,6 +64,7 @@
     unanswered: int = 0
     # Silent flows by their key, see failure_evidence.py.
     silences: dict = attrs.field(factory=dict)
+    silent_since: float = float("-inf")
     probed_at: float = float("-inf")
     # Whether another incarnation has taken over its address.
     replaced: bool = False
