Count an answer only where this instance forwarded what it answers

Traced in the logs of frontend-ikeja-c-1 and c-3: flows of the cut-off data centre had moved there; their upstreams, behind the cut, sent earlier answers again, callers acknowledged them, and the upstream counted as reached.

Change: an acknowledgement counts only in a flow whose data was forwarded here.

Test: test_answer_to_a_request_of_another_instance_is_no_answer_here fails before.

--- a/lycheevalve/flows/passive_health.py
+++ b/lycheevalve/flows/passive_health.py
@@ -72,7 +72,9 @@
     """Apply a packet of an open flow; return ANSWERED, RETRANSMITTED or None."""
     observation = None
     upstream, key = flow.upstream, packet.flow_key
-    if flow.opening or advances_acknowledgement(flow, packet):
+    # Without data forwarded here, the acknowledged answer belongs to a request that another
+    # instance forwarded; it does not prove that the upstream is reached from here.
+    if flow.opening or (flow.sent is not None and advances_acknowledgement(flow, packet)):
         upstream.silences.pop(key, None)
         flow.unanswered_packets = 0
         # A new request also acknowledges the end of the previous answer, which may have
--- a/lycheevalve/tests/test_passive_health.py
+++ b/lycheevalve/tests/test_passive_health.py
@@ -203,6 +203,22 @@
         scenario.send(late, CALLER_WINDOW_BYTES, 300, 1.0)
         assert passive_health.is_unresponsive(scenario.unresponsive, 1.0)
 
+    def test_answer_to_a_request_of_another_instance_is_no_answer_here(self):
+        """
+        A flow moved here while its upstream is cut off from here, but not from its caller.
+
+        lmwu-sleeplog, scale-1: callers acknowledged answers that the upstream sent again, so
+        an upstream behind a partition counted as reached.
+        """
+        scenario = UnresponsiveScenario()
+        scenario.retransmit(0.5, 0.9)
+        assert passive_health.is_unresponsive(scenario.unresponsive, 0.9)
+        values = {"cookie": scenario.unresponsive.cookie, "sequence": 700}
+        for number in (1, 2):
+            packet = build_packet(b"moved", acknowledged=500 * number, **values)
+            scenario.entry.handle(packet, 0.9 + 0.1 * number)
+        assert passive_health.is_unresponsive(scenario.unresponsive, 1.2)
+
     def test_answer_time_is_recorded_only_when_known(self):
         """An answer acknowledged only by the next request has no known time of arrival."""
         scenario = UnresponsiveScenario(OTHER_FRONT_DOOR)
