--- a/bench/mutations/flows.py
+++ b/bench/mutations/flows.py
@@ -44,7 +44,7 @@
     Mutant(
         "drains are ignored",
         "flows/upstreams.py",
-        "        if self.drained or self.registration.draining:",
+        "        if self.drained or self.evacuated or self.registration.draining:",
         "        if False:",
         f"{FLOWS}::TestDrain",
     ),
@@ -125,8 +125,8 @@
     Mutant(
         "cookies: draining upstreams get new flows",
         "flows/upstreams.py",
-        "if self.drained or self.registration.draining:",
-        "if self.drained:",
+        "if self.drained or self.evacuated or self.registration.draining:",
+        "if self.drained or self.evacuated:",
         f"{COOKIE_ROUTING}::TestCookieRouting",
     ),
     Mutant(
@@ -181,8 +181,8 @@
     Mutant(
         "health: late acknowledgements count as new answers",
         "flows/passive_health.py",
-        "record_answer(flow.upstream, flow.sent_at if is_piggybacked else now)",
-        "record_answer(flow.upstream, now)",
+        "record_answer(upstream, flow.sent_at if is_piggybacked else now)",
+        "record_answer(upstream, now)",
         "test_passive_health.py::TestUnresponsiveUpstream",
     ),
     Mutant(
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -61,7 +61,7 @@
                 await trio.sleep(0.2)
         site.record_fault()
         callers = await start_callers(site, nursery, seed, list(operator.front_doors))
-        for task in (operator.run_changes, operator.run_reads):
+        for task in (operator.run_changes, operator.run_reads, operator.run_evacuations):
             nursery.start_soon(task)
         nursery.start_soon(operator.check_in_force, callers)
         await events.run(seconds)
--- a/bench/soak/operator.py
+++ b/bench/soak/operator.py
@@ -7,11 +7,19 @@
 
 from bench.soak.callers import FlowError
 from bench.soak.http_client import call
-from bench.soak.site import SERVICES
-from lycheevalve.tests.fakes.platform import READ_PATH, REPLACE_PATH, build_configuration
+from bench.soak.site import SERVICES, ZONES
+from lycheevalve.tests.fakes.platform import (
+    EVACUATE_PATH,
+    READ_PATH,
+    REPLACE_PATH,
+    RESTORE_PATH,
+    build_configuration,
+)
 
 CHANGE_INTERVAL_SECONDS = 1.0
 READ_INTERVAL_SECONDS = 0.7
+# A data centre stays evacuated for half to one and a half times this long.
+EVACUATION_SECONDS = 6.0
 # An acknowledged version must be in force at all data centres within this time.
 IN_FORCE_TIMEOUT_SECONDS = 3.0
 MAX_ATTEMPTS = 8
@@ -86,6 +94,34 @@
                 f"resent configuration version {version} was answered with status {status}"
             )
 
+    async def run_evacuations(self):
+        """Evacuate one data centre after another and take it back, until cancelled."""
+        while True:
+            zone = self.random.choice(ZONES)
+            await trio.sleep(self.random.uniform(0.5, 1.5) * CHANGE_INTERVAL_SECONDS)
+            if await self.send_order(EVACUATE_PATH + zone):
+                self.site.evacuated_at[zone] = trio.current_time()
+                await trio.sleep(self.random.uniform(0.5, 1.5) * EVACUATION_SECONDS)
+            # The withdrawal may be in force before it is acknowledged.
+            self.site.evacuated_at.pop(zone, None)
+            while not await self.send_order(RESTORE_PATH + zone):
+                pass
+
+    async def send_order(self, path):
+        """Send an order about a data centre, with retries; return whether it was accepted."""
+        for attempt in range(MAX_ATTEMPTS):
+            address = self.random.choice(self.site.control_addresses())
+            status, _ = await call(address, "POST", path, b"")
+            if status == 200:
+                return True
+            if 400 <= status < 500:
+                self.site.record_violation(f"order {path} was refused with status {status}")
+                return False
+            await trio.sleep(0.1 * (attempt + 1))
+        if self.site.is_calm():
+            self.site.record_violation(f"order {path} was not acknowledged")
+        return False
+
     async def run_reads(self):
         """Read the configuration from random replicas until cancelled."""
         while True:
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -25,6 +25,8 @@
 # The platform restarts an exited process after a short delay.
 RESTART_INTERVAL_SECONDS = 0.3
 STOP_TIMEOUT_SECONDS = 8.0
+# An acknowledged evacuation must be in force at all instances within this time.
+EVACUATE_SECONDS = 3.0
 
 
 @attrs.define
@@ -55,6 +57,8 @@
     answered: int = 0
     dropped_segments: int = 0
     last_fault_at: float = float("-inf")
+    # When the evacuation of a data centre was acknowledged, until its withdrawal is sent.
+    evacuated_at: dict = attrs.field(factory=dict)
     # Time bounds are checked only if no fault has occurred for this long.
     calm_seconds: float = 8.0
     founding: bool = True
@@ -202,6 +206,11 @@
         """Return whether no fault was injected or has ended within `calm_seconds`."""
         return trio.current_time() - self.last_fault_at > self.calm_seconds
 
+    def is_evacuated(self, zone):
+        """Return whether no new flow may reach the upstreams of a data centre."""
+        acknowledged_at = self.evacuated_at.get(zone, float("inf"))
+        return trio.current_time() > acknowledged_at + EVACUATE_SECONDS and self.is_calm()
+
     def record_violation(self, text):
         """Record a violated guarantee with the current time."""
         self.ledger.violations.append(f"{trio.current_time():.3f} {text}")
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -170,6 +170,8 @@
         )
         if late and self.site.is_calm():
             ledger.violations.append(f"new flow at {self.name} after its drain time")
+        if self.site.is_evacuated(self.zone):
+            ledger.violations.append(f"new flow at {self.name} in evacuated {self.zone}")
         initial_sequence = self.random.getrandbits(31)
         new_flow = Flow(initial_sequence, initial_sequence + 1, segment.sequence + 1)
         flow = self.flows.setdefault(key, new_flow)
--- a/lycheevalve/tests/fakes/platform.py
+++ b/lycheevalve/tests/fakes/platform.py
@@ -14,6 +14,8 @@
 REPLACE_PATH = "/Config.Replace"
 HEARTBEAT_PATH = "/Instances.Heartbeat/"
 DEREGISTER_PATH = "/Instances.Deregister/"
+EVACUATE_PATH = "/Evacuations.Start/"
+RESTORE_PATH = "/Evacuations.Stop/"
 REQUEST_ID = re.compile(rb"X-Lycheevalve-Request-Id: (\S+)")
 
 
--- a/lycheevalve/tests/test_link_scheduler.py
+++ b/lycheevalve/tests/test_link_scheduler.py
@@ -184,6 +184,14 @@
         sent_before_the_copies = 0.2 * LINK_MBPS * 1_000_000 / 8 / DATA_BYTES + 5
         assert 0 < copies <= sent_before_the_copies
 
+    def test_copy_of_a_waiting_packet_takes_no_room(self):
+        link = Link()
+        link.submit_window(b"upload")
+        waiting = dict(link.scheduler.queued_bytes)
+        last = (WINDOW_PACKETS - 1) * DATA_BYTES
+        link.submit(b"upload", UPLOAD, last)
+        assert link.scheduler.queued_bytes == waiting
+
     def test_copy_of_a_sent_packet_is_sent(self):
         link = Link()
         for _ in range(2):
