--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -51,7 +51,7 @@
     Mutant(
         "load: a data centre that is cut off is not found",
         "flows/cookie_routing.py",
-        "        self.update_silent_data_centres(now)\n",
+        "        self.find_silent_data_centres(now)\n",
         "",
         f"{EVIDENCE}::TestSilentDataCentre",
     ),
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -13,13 +13,7 @@
 import attrs
 
 from lycheevalve.flows.cookies import CookieTable
-from lycheevalve.flows.failure_evidence import (
-    AVOIDANCE_SECONDS,
-    Deliveries,
-    find_silent_data_centres,
-    has_failed,
-    record_silence,
-)
+from lycheevalve.flows.failure_evidence import FailureDetector, record_silence
 from lycheevalve.flows.front_doors import UNKNOWN_ROUTE, FrontDoorRoute
 from lycheevalve.flows.load import decayed_failure_count
 from lycheevalve.flows.passive_health import (
@@ -55,8 +49,6 @@
 # After the evacuation of a data centre is withdrawn, its upstreams count as cold until each
 # has announced its state: two intervals of announcements and the way.
 REPORT_MARGIN_SECONDS = 0.5
-# The weight of an answer in the mean time to an answer of its service.
-MEAN_WEIGHT = 0.05
 # How many flows are tracked, and for how long after their last packet.
 MAX_TRACKED_FLOWS = 65_536
 FLOW_IDLE_TIMEOUT_SECONDS = 15.0
@@ -94,11 +86,7 @@
     # When a flow was last placed, and the upstreams tried, by its key.
     openings: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     held: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
-    deliveries: Deliveries = attrs.field(factory=Deliveries)
-    # The mean time from a request to its acknowledged answer, by service.
-    mean_seconds: dict[str, float] = attrs.field(factory=dict)
-    # When a data centre was found silent.
-    silent_since: dict[str, float] = attrs.field(factory=dict)
+    failures: FailureDetector = attrs.field(factory=FailureDetector)
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
     rebalanced_at: float = float("-inf")
@@ -185,10 +173,10 @@
         """Record which packets an acknowledgement proves to have left this instance."""
         if flow.opening:
             at, _ = self.openings.get(packet.flow_key, (flow.last_packet_at, ()))
-            self.deliveries.record(at, now)
+            self.failures.deliveries.record(at, now)
         elif flow.sent is not None and advances_acknowledgement(flow, packet):
             # Requests may be refused before all of their packets have arrived.
-            self.deliveries.record(flow.first_sent_at, now)
+            self.failures.deliveries.record(flow.first_sent_at, now)
         elif packet.flow_key in self.openings and not flow.acknowledged:
             # Answered after another copy of the opening packet went elsewhere.
             flow.upstream.silences.pop(packet.flow_key, None)
@@ -201,9 +189,7 @@
             self.observe("request", packet=packet, upstream=upstream)
         if observation == ANSWERED:
             self.observe("answered", upstream=upstream, seconds=flow.answer_seconds)
-            mean = self.mean_seconds.get(upstream.service, flow.answer_seconds)
-            mean += MEAN_WEIGHT * (flow.answer_seconds - mean)
-            self.mean_seconds[upstream.service] = mean
+            self.failures.record_answer_time(upstream.service, flow.answer_seconds)
         elif observation == RETRANSMITTED:
             self.retransmitted_at = flow.last_packet_at
             self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
@@ -221,32 +207,18 @@
 
     def is_failed(self, upstream, now):
         """Return whether an upstream has failed beyond doubt, so that flows may be reset."""
-        if self.is_in_silent_data_centre(upstream, now):
+        if self.failures.is_in_silent_data_centre(upstream, now):
             return True
-        if not is_unresponsive_now(upstream, now):
-            return False
-        mean_seconds = self.mean_seconds.get(upstream.service, 0.0)
-        return has_failed(upstream, self.deliveries, mean_seconds, now)
+        return is_unresponsive_now(upstream, now) and self.failures.has_failed(upstream, now)
 
-    def is_in_silent_data_centre(self, upstream, now):
-        """Return whether an upstream's data centre was found silent and has not answered."""
-        since = self.silent_since.get(upstream.registration.data_centre)
-        if since is None or now - since > AVOIDANCE_SECONDS:
-            return False
-        return upstream.answered_at < since
-
-    def update_silent_data_centres(self, now):
+    def find_silent_data_centres(self, now):
         """Find the data centres that are silent, while callers retransmit."""
         if now - self.retransmitted_at > MAX_RETRANSMIT_INTERVAL_SECONDS:
             return
-        upstreams = self.upstreams.by_index.values()
-        found = find_silent_data_centres(
-            upstreams, self.deliveries, self.mean_seconds, self.silent_since, now
-        )
-        for name in found:
-            if now - self.silent_since.get(name, float("-inf")) > AVOIDANCE_SECONDS:
-                self.observe("data_centre_silent", data_centre=name)
-            self.silent_since[name] = now
+        for name in self.failures.find_silent_data_centres(
+            self.upstreams.by_index.values(), now
+        ):
+            self.observe("data_centre_silent", data_centre=name)
 
     def has_alternative(self, upstream, now):
         """Return whether another upstream of the service is healthy."""
@@ -352,7 +324,8 @@
             return None
         weights = [weight for weight, _ in usable]
         candidates = self.random.choices([c for _, c in usable], weights)[0]
-        reached = [u for u in candidates if not self.is_in_silent_data_centre(u, now)]
+        is_silent = self.failures.is_in_silent_data_centre
+        reached = [u for u in candidates if not is_silent(u, now)]
         candidates = exclude_unresponsive(reached or candidates, may_probe, now)
         untried = [upstream for upstream in candidates if upstream not in tried]
         chosen = min(untried or candidates, key=lambda u: self.cost(u, now))
@@ -450,7 +423,7 @@
     def tick(self, now):
         """Retry held packets, reset flows on unresponsive upstreams, evict idle records."""
         self.retry_held(now)
-        self.update_silent_data_centres(now)
+        self.find_silent_data_centres(now)
         self.reset_unresponsive_flows(now)
         self.reset_flows_of_replaced_upstreams(now)
         self.evict_oldest(
@@ -478,8 +451,7 @@
         """Discard flow and health state: packets were missed while the process was paused."""
         self.flows.clear()
         self.openings.clear()
-        self.deliveries.clear()
-        self.silent_since.clear()
+        self.failures.clear()
         for upstream in self.upstreams.by_index.values():
             upstream.flows = upstream.unanswered = 0
             upstream.silences.clear()
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -34,6 +34,8 @@
 SINGLE_FLOW_SECONDS = 1.0
 SINGLE_FLOW_COPIES = 3
 AGREEING_FLOWS = 2
+# The weight of an answer in the mean time to an answer of its service.
+MEAN_WEIGHT = 0.05
 # Evidence without a further retransmission expires: the time from a caller's second
 # retransmission to its third, so that the evidence of two flows can meet.
 EVIDENCE_SECONDS = 0.8
@@ -96,6 +98,101 @@
     acknowledged_at_once: bool = False
 
 
+@attrs.define
+class FailureDetector:
+    """What one instance has seen of answers, and the failures that it concludes."""
+
+    deliveries: Deliveries = attrs.field(factory=Deliveries)
+    # The mean time from a request to its acknowledged answer, by service.
+    mean_seconds: dict[str, float] = attrs.field(factory=dict)
+    # When a data centre was last found silent.
+    silent_since: dict[str, float] = attrs.field(factory=dict)
+
+    def clear(self):
+        """Discard what is out of date after a pause of the process."""
+        self.deliveries.clear()
+        self.silent_since.clear()
+
+    def record_answer_time(self, service, seconds):
+        """Update the mean time to an answer of a service."""
+        mean = self.mean_seconds.get(service, seconds)
+        self.mean_seconds[service] = mean + MEAN_WEIGHT * (seconds - mean)
+
+    def has_failed(self, upstream, now):
+        """
+        Return whether an upstream has failed, on evidence of its silent flows.
+
+        Expired evidence is removed.
+        """
+        for key, silence in list(upstream.silences.items()):
+            if now - silence.repeated_at > EVIDENCE_SECONDS:
+                del upstream.silences[key]
+        mean = self.mean_seconds.get(upstream.service, 0.0)
+        waits = [
+            (silence, measure_wait(silence, upstream.answered_at, self.deliveries))
+            for silence in upstream.silences.values()
+        ]
+        overdue = [silence for silence, wait in waits if wait >= answer_time(silence, mean)]
+        single_flow_seconds = max(SINGLE_FLOW_SECONDS, ANSWER_TIME_FACTOR * mean)
+        failed = len(overdue) >= AGREEING_FLOWS or any(
+            silence.copies >= SINGLE_FLOW_COPIES and wait >= single_flow_seconds
+            for silence, wait in waits
+        )
+        if not failed and is_remembered(upstream.silent_since, upstream.answered_at, now):
+            failed = any(wait >= ACKNOWLEDGEMENT_SECONDS for _, wait in waits)
+        if failed:
+            upstream.silent_since = now
+        return failed
+
+    def is_in_silent_data_centre(self, upstream, now):
+        """Return whether an upstream's data centre was found silent and has not answered."""
+        since = self.silent_since.get(upstream.registration.data_centre)
+        if since is None or now - since > AVOIDANCE_SECONDS:
+            return False
+        return upstream.answered_at < since
+
+    def find_silent_data_centres(self, upstreams, now):
+        """
+        Find the data centres whose upstreams all seem unreachable.
+
+        Return the names of those that were not known as silent.
+        """
+        answered_at, members = {}, {}
+        for upstream in upstreams:
+            name = upstream.registration.data_centre
+            answered_at[name] = max(answered_at.get(name, 0.0), upstream.answered_at)
+            if upstream.silences:
+                members.setdefault(name, []).append(upstream)
+        found = []
+        for name, silent in members.items():
+            if self.is_data_centre_silent(name, silent, answered_at[name], now):
+                if now - self.silent_since.get(name, float("-inf")) > AVOIDANCE_SECONDS:
+                    found.append(name)
+                self.silent_since[name] = now
+        return found
+
+    def is_data_centre_silent(self, name, upstreams, answered_at, now):
+        """
+        Return whether enough flows on enough upstreams of a data centre are silent.
+
+        One suffices if it is remembered as silent.
+        """
+        remembered = is_remembered(self.silent_since.get(name, float("-inf")), answered_at, now)
+        flows = [0] * len(upstreams)
+        for number, upstream in enumerate(upstreams):
+            mean = self.mean_seconds.get(upstream.service, 0.0)
+            for silence in upstream.silences.values():
+                if now - silence.repeated_at > EVIDENCE_SECONDS:
+                    continue
+                limit = ACKNOWLEDGEMENT_SECONDS if remembered else answer_time(silence, mean)
+                flows[number] += measure_wait(silence, answered_at, self.deliveries) >= limit
+        if remembered:
+            return any(flows)
+        return (
+            sum(flows) >= DATA_CENTRE_FLOWS and sum(map(bool, flows)) >= DATA_CENTRE_UPSTREAMS
+        )
+
+
 def record_silence(upstream, key, sent_at, now, acknowledged_at_once):
     """Record that the caller of a flow retransmitted what an upstream has not answered."""
     silence = upstream.silences.get(key)
@@ -107,32 +204,6 @@
     silence.acknowledged_at_once = silence.acknowledged_at_once or acknowledged_at_once
 
 
-def has_failed(upstream, deliveries, mean_seconds, now):
-    """
-    Return whether an upstream has failed, on evidence of its silent flows.
-
-    `mean_seconds` is the mean time to an answer of its service. Expired evidence is removed.
-    """
-    for key, silence in list(upstream.silences.items()):
-        if now - silence.repeated_at > EVIDENCE_SECONDS:
-            del upstream.silences[key]
-    waits = [
-        (silence, measure_wait(silence, upstream.answered_at, deliveries))
-        for silence in upstream.silences.values()
-    ]
-    overdue = [s for s, wait in waits if wait >= answer_time(s, mean_seconds)]
-    single_flow_seconds = max(SINGLE_FLOW_SECONDS, ANSWER_TIME_FACTOR * mean_seconds)
-    failed = len(overdue) >= AGREEING_FLOWS or any(
-        silence.copies >= SINGLE_FLOW_COPIES and wait >= single_flow_seconds
-        for silence, wait in waits
-    )
-    if not failed and is_remembered(upstream.silent_since, upstream.answered_at, now):
-        failed = any(wait >= ACKNOWLEDGEMENT_SECONDS for _, wait in waits)
-    if failed:
-        upstream.silent_since = now
-    return failed
-
-
 def is_remembered(silent_since, answered_at, now):
     """Return whether what failed has not answered since, and that is not long ago."""
     return now - silent_since < MEMORY_SECONDS and answered_at < silent_since
@@ -152,49 +223,3 @@
     if silence.acknowledged_at_once:
         return ACKNOWLEDGEMENT_SECONDS
     return max(ANSWER_SECONDS, ANSWER_TIME_FACTOR * mean_seconds)
-
-
-def find_silent_data_centres(upstreams, deliveries, mean_seconds, silent_since, now):
-    """
-    Return the data centres whose upstreams all seem unreachable, as a set of names.
-
-    `mean_seconds` has the mean time to an answer of each service, and `silent_since` the
-    time at which each data centre was last found silent.
-    """
-    answered_at, silent = {}, {}
-    for upstream in upstreams:
-        name = upstream.registration.data_centre
-        answered_at[name] = max(answered_at.get(name, 0.0), upstream.answered_at)
-        if upstream.silences:
-            silent.setdefault(name, []).append(upstream)
-    return {
-        name
-        for name, members in silent.items()
-        if is_data_centre_silent(
-            members,
-            answered_at[name],
-            deliveries,
-            mean_seconds,
-            is_remembered(silent_since.get(name, float("-inf")), answered_at[name], now),
-            now,
-        )
-    }
-
-
-def is_data_centre_silent(upstreams, answered_at, deliveries, mean_seconds, remembered, now):
-    """
-    Return whether enough flows on enough upstreams of a data centre are silent.
-
-    One suffices if it is remembered as silent.
-    """
-    flows = [0] * len(upstreams)
-    for number, upstream in enumerate(upstreams):
-        mean = mean_seconds.get(upstream.service, 0.0)
-        for silence in upstream.silences.values():
-            if now - silence.repeated_at > EVIDENCE_SECONDS:
-                continue
-            limit = ACKNOWLEDGEMENT_SECONDS if remembered else answer_time(silence, mean)
-            flows[number] += measure_wait(silence, answered_at, deliveries) >= limit
-    if remembered:
-        return any(flows)
-    return sum(flows) >= DATA_CENTRE_FLOWS and sum(map(bool, flows)) >= DATA_CENTRE_UPSTREAMS
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from lycheevalve.flows import failure_evidence
-from lycheevalve.flows.failure_evidence import Deliveries
+from lycheevalve.flows.failure_evidence import Deliveries, FailureDetector
 from lycheevalve.flows.upstreams import Upstream
 from lycheevalve.tests.fakes.entry import build_entry, build_packet, build_registration
 
@@ -324,8 +324,7 @@
             if caller.upstream is not dark:
                 world.request(caller)
         world.run(0.3)
-        router = world.entry.cookie_router
-        assert failure_evidence.has_failed(dark, router.deliveries, 0.1, world.now)
+        assert world.entry.cookie_router.failures.has_failed(dark, world.now)
 
 
 class TestSilentDataCentre:
@@ -385,7 +384,7 @@
             world.darken(index)
         self.run_requests(world, 2.0)
         assert world.false_resets == []
-        assert world.entry.cookie_router.silent_since == {}
+        assert world.entry.cookie_router.failures.silent_since == {}
 
     def test_it_gets_flows_again_once_it_is_reached(self):
         world = self.build()
@@ -425,14 +424,14 @@
 
     def test_silence_counts_from_the_departure(self):
         upstream = Upstream(1, build_registration(), ("", 0), 0.0, 9.0, 0.0)
-        deliveries = Deliveries()
+        detector = FailureDetector()
         for key in (b"one", b"two"):
             failure_evidence.record_silence(upstream, key, 1.0, 1.9, False)
-        deliveries.record(1.0, 1.5)
-        assert not failure_evidence.has_failed(upstream, deliveries, 0.1, 2.5)
+        detector.deliveries.record(1.0, 1.5)
+        assert not detector.has_failed(upstream, 2.5)
         for key in (b"one", b"two"):
             failure_evidence.record_silence(upstream, key, 1.0, 2.0, False)
-        assert failure_evidence.has_failed(upstream, deliveries, 0.1, 2.0)
+        assert detector.has_failed(upstream, 2.0)
 
 
 class EvidenceMachine(RuleBasedStateMachine):
