Reset flows of a silent data centre only on upstreams with a silent flow

Change: an upstream of a silent data centre needs a silent flow of its own. New flows avoid the data centre as before, which breaks nothing.

Test: test_upstreams_that_fail_together_do_not_condemn_the_others fails before.

--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -17,7 +17,8 @@
 
 An upstream that has failed is remembered until it answers: then one silent flow suffices.
 Where few flows use each upstream, those of a data centre that is cut off agree with each
-other: several of its upstreams are silent, and none of them answers anyone here.
+other: several of its upstreams are silent, and none of them answers anyone here. That does
+not suffice against an upstream without a silent flow: several may have failed at once.
 """
 
 import bisect
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -369,6 +369,30 @@
         assert max(at for at, _ in world.sound_resets) - failed_at <= self.LEAVE_SECONDS
         assert world.false_resets == []
 
+    def test_upstreams_that_fail_together_do_not_condemn_the_others(self):
+        """
+        Half of a data centre's upstreams go dark while the other half has no requests.
+
+        ile-admissions-grown, replace_with_reuse and srv_crash (hunt): 7 to 20 idle flows of
+        sound upstreams were reset on four of eight days.
+        """
+        world = World(2, remote=6)
+        for _ in range(24):
+            world.start_flow()
+        world.run(0.1)
+        for caller in world.callers:
+            world.request(caller)
+        world.run(0.3)
+        for index in (3, 4, 5):
+            world.darken(index)
+        for _ in range(30):
+            for caller in world.callers:
+                if caller.upstream.index <= 5:
+                    world.request(caller)
+            world.run(0.1)
+        assert world.sound_resets
+        assert world.false_resets == []
+
     def test_new_flows_avoid_it(self):
         world = self.build()
         for index in (4, 5, 6):
