Ignore retransmissions of long ago in silent data centres

Change: the silent flow that an upstream needs has to be recent and not answered since. Test: the old record in the test of upstreams that fail together; it failed.

--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -207,9 +207,7 @@
 
     def is_failed(self, upstream, now):
         """Return whether an upstream has failed beyond doubt, so that flows may be reset."""
-        # Several upstreams of a data centre may fail at once while the others work, so each
-        # needs a silent flow of its own.
-        if upstream.silences and self.failures.is_in_silent_data_centre(upstream, now):
+        if self.failures.is_cut_off(upstream, now):
             return True
         return is_unresponsive_now(upstream, now) and self.failures.has_failed(upstream, now)
 
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -152,6 +152,20 @@
             return False
         return upstream.answered_at < since
 
+    def is_cut_off(self, upstream, now):
+        """
+        Return whether an upstream is silent as its data centre is.
+
+        Several upstreams of a data centre may fail at once while the others work, so a
+        silent flow of its own is needed.
+        """
+        return self.is_in_silent_data_centre(upstream, now) and any(
+            now - silence.repeated_at <= EVIDENCE_SECONDS
+            and measure_wait(silence, upstream.answered_at, self.deliveries)
+            >= ACKNOWLEDGEMENT_SECONDS
+            for silence in upstream.silences.values()
+        )
+
     def find_silent_data_centres(self, upstreams, now):
         """
         Find the data centres whose upstreams all seem unreachable.
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -383,6 +383,9 @@
         for caller in world.callers:
             world.request(caller)
         world.run(0.3)
+        for upstream in world.entry.cookie_router.upstreams.by_index.values():
+            # A retransmission of long ago is no silent flow.
+            failure_evidence.record_silence(upstream, b"old", 0.1, world.now - 5.0, True)
         for index in (3, 4, 5):
             world.darken(index)
         for _ in range(30):
