--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -183,3 +183,29 @@
         assert site.processes["a4"].wait(WAIT_TIMEOUT_SECONDS) == 0
         states = {e["name"]: e["state"] for e in read_status(site)["instances"]}
         assert states["a4"].startswith("left")
+
+
+class TestEvacuation:
+    """The commands that evacuate a data centre and take it back."""
+
+    def order(self, site, command, data_centre):
+        """Run an order; return the finished command."""
+        overlay = site.folder / "overlay.toml"
+        return site.run_command(command, overlay, data_centre, "--wait", 30, "--json")
+
+    def test_order_is_in_force_until_it_is_withdrawn(self, site):
+        data_centre = read_status(site)["instances"][0]["data_centre"]
+        assert json.loads(self.order(site, "evacuate", data_centre).stdout)
+        assert wait_for(lambda: read_status(site))["evacuated"] == [data_centre]
+        # The leader's log and snapshot keep the order.
+        leader = find_leader(site)
+        site.kill(leader)
+        site.start_instance(leader)
+        assert wait_for(lambda: read_status(site))["evacuated"] == [data_centre]
+        assert self.order(site, "restore", data_centre).returncode == 0
+        assert wait_for(lambda: read_status(site))["evacuated"] == []
+
+    def test_unknown_data_centre_is_refused(self, site):
+        done = self.order(site, "evacuate", "ikeja-z")
+        assert done.returncode != 0
+        assert "unknown data centre 'ikeja-z'" in done.stderr
