--- a/lycheevalve/coordination/evacuations.py
+++ b/lycheevalve/coordination/evacuations.py
@@ -48,5 +48,5 @@
         if evacuations is None or evacuations.number <= self.number:
             return False
         self.evacuations = evacuations
-        self.apply(frozenset(evacuations.data_centres), now)
+        self.apply(evacuations.data_centres, now)
         return True
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -182,8 +182,8 @@
             upstream.drained = upstream.registration.address in self.drained
 
     def set_evacuated(self, data_centres, now):
-        """Apply the operators' evacuations of data centres."""
-        for data_centre in self.evacuated - data_centres:
+        """Apply the operators' evacuations of data centres, given by their names."""
+        for data_centre in self.evacuated.difference(data_centres):
             self.restored_at[data_centre] = now
         self.evacuated = frozenset(data_centres)
         for upstream in self.by_index.values():
--- a/lycheevalve/instance.py
+++ b/lycheevalve/instance.py
@@ -347,8 +347,7 @@
         self.router.front_doors = front_doors
         self.router.services = {service.name: service for service in configuration.services}
         self.upstreams.set_drained(configuration.drained)
-        evacuated = get_evacuations(configuration).data_centres
-        self.upstreams.set_evacuated(frozenset(evacuated), now)
+        self.upstreams.set_evacuated(get_evacuations(configuration).data_centres, now)
         self.membership.local_member.applied = configuration.revision
         self.count("in_force", configuration.revision)
 
