Acknowledge an order about a data centre only if the leader accepted it

Cause (reading the diff): a leader of an earlier version refuses the order by its base revision, and the replica that the operator called answered 200 nevertheless.

Change: any other outcome is answered 503 with the leader's reason. Test: test_order_that_the_leader_refuses_is_not_acknowledged fails before.

--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -3,6 +3,7 @@
 import functools
 import uuid
 
+from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.daemon.http import Response, Server, build_error, build_json
 from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
 from lycheevalve.logs.queue import record
@@ -103,7 +104,11 @@
     # A call that the operator sends again is another order; it changes nothing by itself.
     # Replicas of an earlier version refuse it by its base revision.
     change = Change(uuid.uuid4().hex, base_revision=-1, keeps_revision=True, **orders)
-    await process.propose(change)
+    result = await process.propose(change)
+    if result.outcome != Outcome.ACCEPTED:
+        # Only a leader of an earlier version refuses an order.
+        record("refused", reason=result.reason, peer=request.peer)
+        return build_error(503, f"the leader does not take this order: {result.reason}")
     record("ordered", order=next(iter(orders)), data_centre=data_centre)
     return build_json(200, {})
 
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -308,12 +308,13 @@
         self.announced = []
         self.deregistered = []
         self.counted = []
+        self.outcome = Outcome.ACCEPTED
 
     async def propose(self, change):
         """Record a change and accept it."""
         self.require_leader()
         self.proposed.append(change)
-        return ChangeResult(change.change_id, Outcome.ACCEPTED, change.target_revision)
+        return ChangeResult(change.change_id, self.outcome, change.target_revision)
 
     async def read(self):
         """Return the newest configuration."""
@@ -428,6 +429,12 @@
         assert b"data centre" in response.body
         assert process.proposed == []
 
+    def test_order_that_the_leader_refuses_is_not_acknowledged(self):
+        """A leader of an earlier version refuses it by its base revision."""
+        process = FakeProcess()
+        process.outcome = Outcome.CONFLICT
+        assert call(process, "POST", "/Evacuations.Start/ikeja-a").status == 503
+
     def test_without_a_leader_no_order_is_acknowledged(self):
         process = FakeProcess(leaderless=True)
         assert call(process, "POST", "/Evacuations.Start/ikeja-a").status == 503
