Reserve the ports of process tests, so that two test runs do not share a site

Traced in their folders: five logs say "Address already in use"; one run had data-a2 only, the other data-a1 and data-a3. Both had found the same ports free before either used them, so instances of both formed one site.

Change: a run holds the last port of its range while it lives; the check of the other ports stays. Two runs of test_processes.py at the same time pass (9 and 9).

--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -14,7 +14,10 @@
 # A condition must hold within this time, which is far longer than any step takes: these
 # tests do not check how fast the processes are.
 WAIT_TIMEOUT_SECONDS = 60.0
-FIRST_PORTS = iter(range(21000, 30000, 500))
+PORTS_PER_SITE = 500
+FIRST_PORTS = iter(range(21000, 30000, PORTS_PER_SITE))
+# Each holds the last port of a range, so that concurrent test runs use different ones.
+RESERVATIONS = []
 
 
 def wait_for(condition):
@@ -32,6 +35,8 @@
     """Return the first port of an unused range."""
     for first in FIRST_PORTS:
         try:
+            last = ("127.0.0.1", first + PORTS_PER_SITE - 1)
+            RESERVATIONS.append(socket.create_server(last))
             for offset in range(1, 5):
                 with socket.create_server(("127.0.0.1", first + 100 + offset)):
                     pass
