Forward packets while an instance is still starting

Change: a thread that uses modules written in C binds the packet socket, asks control replicas by signed datagrams for the upstreams of the cookies and front doors of the packets that it holds, and forwards them. The instance takes over once it has routes as new as those used. Replicas vouch for leases in their table, and name upstreams for new flows only while current.

--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -4,6 +4,7 @@
 import functools
 import hashlib
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -21,6 +22,7 @@
 LINK_PORT = 7600
 READY_PORT = 7601
 CONTROL_PORT = 7602
+KEY = "key-of-the-soak-not-secret"
 PROBE_INTERVAL_SECONDS = 0.5
 # The platform restarts an exited process after a short delay.
 RESTART_INTERVAL_SECONDS = 0.3
@@ -86,18 +88,21 @@
 
     # Processes.
 
+    def list_seeds(self):
+        """Return the addresses of the first control replicas."""
+        return [f"{ip}:{CONTROL_PORT}" for ip, _ in self.control_addresses()][:3]
+
     def write_settings(self, machine):
         """Write the settings file of a machine's process; return its path."""
-        seeds = [f"{ip}:{CONTROL_PORT}" for ip, _ in self.control_addresses()][:3]
         values = {
             "role": machine.role,
             "name": machine.name,
             "data_centre": machine.zone,
             "ip": machine.ip,
             "link_port": LINK_PORT,
-            "seeds": seeds,
+            "seeds": self.list_seeds(),
             "founding": self.founding,
-            "key": "key-of-the-soak-not-secret",
+            "key": KEY,
             "heartbeat_ms": 500,
         }
         if machine.role == "entry":
@@ -111,6 +116,21 @@
         path.write_text("".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items()))
         return path
 
+    def build_environment(self, machine):
+        """Return the variables from which an entry instance starts its early thread."""
+        if machine.role != "entry":
+            return {}
+        words = {
+            "packets": f"{machine.ip}:{self.fabric_port}",
+            "ip": machine.ip,
+            "link_port": LINK_PORT,
+            "seeds": ",".join(self.list_seeds()),
+            "data_centre": machine.zone,
+            "key": KEY,
+        }
+        early = " ".join(f"{key}={value}" for key, value in words.items())
+        return {"LYCHEEVALVE_EARLY": early}
+
     def start_process(self, name):
         """
         Start a machine's process; its output is appended to NAME.jsonl.
@@ -123,6 +143,7 @@
         with open(self.folder / f"{name}.jsonl", "a") as output:
             machine.process = subprocess.Popen(
                 [sys.executable, "-m", "lycheevalve.platform", str(path)],
+                env={**os.environ, **self.build_environment(machine)},
                 stdout=output,
                 stderr=output,
                 stdin=subprocess.DEVNULL,
--- a/bench/steered.py
+++ b/bench/steered.py
@@ -16,7 +16,7 @@
 from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.logs.queue import set_up_logs
 from lycheevalve.platform.codec import Codec
-from lycheevalve.platform.packets import ACK, HEADER, ZERO_PADDING
+from lycheevalve.platform.headers import ACK, HEADER, ZERO_PADDING
 from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.schema.generated.settings import Role
 
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -15,6 +15,7 @@
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS, Feed, is_renewal
 from lycheevalve.coordination.subscriptions import Subscriptions
 from lycheevalve.coordination.timers import Timers
+from lycheevalve.flows.lookups import LookupTable
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.schema.generated import messages
 from lycheevalve.utils.addresses import parse_address
@@ -57,6 +58,9 @@
     random: object
     now: float
     observe: object = ignore
+    heartbeat_seconds: float = 1.0
+    # Returns the routes of a configuration's document by front door.
+    read_routes: object = lambda document: {}
     messages: list = attrs.field(factory=list)
     answers: list = attrs.field(factory=list)
     # In the order of their deadlines.
@@ -71,6 +75,7 @@
     def __attrs_post_init__(self):
         self.timers = Timers()
         self.upstreams = Upstreams()
+        self.lookups = LookupTable(self.upstreams, self.random, self.heartbeat_seconds)
         self.subscriptions = Subscriptions(
             self.address, self.data_centre, True, self.incarnation
         )
@@ -106,6 +111,7 @@
     def evict_expired(self, now):
         """Evict expired upstreams, subscribers and sources."""
         self.upstreams.evict_expired(now)
+        self.lookups.evict()
         self.feed.evict_expired(now)
         self.subscriptions.evict_lost(now)
         self.subscriptions.choose_active(now)
@@ -118,6 +124,7 @@
         previous = existing.registration if existing is not None else None
         if not self.upstreams.update(registration, now):
             return False
+        self.lookups.add(registration)
         self.feed.publish(registration, previous, now)
         if not is_renewal(registration, previous):
             self.observe("upstream", registration=registration, source=source)
@@ -166,6 +173,13 @@
         deregistered = attrs.evolve(existing, leaving=True, sequence=existing.sequence + 1)
         self.handle_announcement(deregistered, reply, now)
 
+    def answer_lookup(self, lookup, now):
+        """Return the Answer to a Lookup of an instance that has just started."""
+        applied = self.dissemination.applied
+        if lookup.front_doors and applied.revision != self.lookups.revision:
+            self.lookups.set_routes(self.read_routes(applied.document), applied.revision)
+        return self.lookups.answer(lookup, self.current, now)
+
     # Subscribers.
 
     def handle_poll(self, poll, reply, now):
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -16,6 +16,7 @@
     write_upstream_cache,
 )
 from lycheevalve.daemon.events import (
+    Batch,
     Committed,
     Learners,
     Query,
@@ -29,6 +30,7 @@
 from lycheevalve.daemon.polling import ask_once
 from lycheevalve.daemon.replica_task import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.role_process import INBOX_EVENTS, RoleProcess
+from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.exceptions import StorageError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import (
@@ -38,6 +40,8 @@
     ReadRequest,
     ReadResult,
 )
+from lycheevalve.schema.lookups import decode_lookup, derive_key, encode_answer
+from lycheevalve.utils.addresses import format_address, parse_address
 
 # Operators try another replica when they get no answer within a second.
 ANSWER_TIMEOUT_SECONDS = 0.85
@@ -75,10 +79,11 @@
     """
     One control replica.
 
-    `make_server(process)` returns the Server for operators and upstreams, see platform/.
+    `make_server(process)` returns the Server for operators and upstreams, and
+    `read_routes(document)` the routes of a configuration by front door, see platform/.
     """
 
-    def __init__(self, settings, make_server):
+    def __init__(self, settings, make_server, read_routes):
         super().__init__(settings)
         self.logic = ControlReplica(
             address=self.address,
@@ -87,7 +92,11 @@
             random=self.random,
             now=trio.current_time(),
             observe=self.observe,
+            heartbeat_seconds=settings.heartbeat_ms / 1000,
+            read_routes=read_routes,
         )
+        self.lookup_key = derive_key(settings.key.encode())
+        self.lookup_socket = None
         self.make_server = make_server
         self.view = ReplicaView()
         self.calls = {}
@@ -101,6 +110,7 @@
             ReplicaView: self.handle_view,
             Announcement: self.handle_announcement,
             Deregistration: self.handle_deregistration,
+            Batch: self.handle_lookups,
         }
 
     async def start(self, nursery):
@@ -122,6 +132,8 @@
         await self.load_upstreams()
         nursery.start_soon(self.store_upstreams)
         await self.serve_links(nursery, self.handle_link_message)
+        self.lookup_socket = UdpSocket(parse_address(self.address))
+        nursery.start_soon(self.lookup_socket.run, self.inbox)
         await nursery.start(self.make_server(self).run)
 
     # Persisted upstreams.
@@ -266,6 +278,20 @@
             fetched = self.logic.dissemination.build_fetched(message.revision)
             event.reply.send_nowait(fetched)
 
+    async def handle_lookups(self, batch):
+        """Answer lookups of instances that have just started; count invalid ones."""
+        now = trio.current_time()
+        for data, source in batch.datagrams:
+            try:
+                lookup = decode_lookup(self.lookup_key, data)
+            except ValueError as error:
+                self.count_call("lookup", "malformed")
+                record("lookup_refused", peer=format_address(source), reason=str(error))
+                continue
+            answer = self.logic.answer_lookup(lookup, now)
+            self.count_call("lookup", "answered")
+            self.lookup_socket.send(encode_answer(self.lookup_key, answer), source)
+
     async def handle_announcement(self, event):
         """Handle an upstream's announcement."""
         self.logic.handle_announcement(event.registration, event.reply, trio.current_time())
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -18,6 +18,8 @@
 # A stopping instance forwards until the fabric has sent its flows elsewhere: two failed
 # readiness probes half a second apart, and the packets in flight.
 SHUTDOWN_SECONDS = 2.5
+# Without settings from a replica the early thread forwards for at most this long.
+MAX_EARLY_SECONDS = 3.0
 COUNTERS_INTERVAL_SECONDS = 10.0
 READINESS_PATH = "/ready"
 
@@ -28,13 +30,15 @@
 
     `codec` has `read_packet(data)`, `build_forward(upstream, cookie, packet)` and
     `build_reset(packet)`, which return (data, address), `describe_flow(packet)` and
-    `read_routes(document)`.
+    `read_routes(document)`. `early` is the EarlyForwarder that owns the packet socket until
+    this process takes over, or None.
     """
 
-    def __init__(self, settings, codec, early_socket=None):
+    def __init__(self, settings, codec, early=None):
         super().__init__(settings)
         self.codec = codec
-        self.early_socket = early_socket
+        self.early = early
+        self.nursery = None
         self.udp_socket = None
         # The reason in the last answer to a readiness probe: empty when ready.
         self.unready_reason = None
@@ -57,11 +61,42 @@
 
     async def start(self, nursery):
         """Start the tasks of the UDP socket and the readiness server."""
-        self.udp_socket = UdpSocket(parse_address(self.settings.packets), self.early_socket)
-        nursery.start_soon(self.udp_socket.run, self.inbox)
+        self.nursery = nursery
+        early_socket = self.early and self.early.packet_socket
+        self.udp_socket = UdpSocket(parse_address(self.settings.packets), early_socket)
+        if self.early is None:
+            nursery.start_soon(self.udp_socket.run, self.inbox)
         server = Server(self.settings.readiness, self.answer_probe)
         await nursery.start(server.run)
 
+    def can_take_over(self, now):
+        """Return whether this process can route packets as well as the early thread."""
+        if now - self.logic.started_at > MAX_EARLY_SECONDS:
+            return True
+        applied = self.logic.dissemination.applied.revision
+        return self.logic.has_routes() and applied >= self.early.router.revision
+
+    def take_over(self, now):
+        """Stop the early thread, and handle its held packets before those in the socket."""
+        early, self.early = self.early, None
+        held = early.stop()
+        router = early.router
+        record(
+            "early_forwarding",
+            duration_ms=round(early.age() * 1000),
+            forwarded=router.forwarded,
+            opened=router.opened,
+            held=len(held),
+            dropped=router.dropped,
+            malformed=early.malformed,
+            unsent=early.unsent,
+            lookups=router.lookups,
+            error=early.error,
+        )
+        packets = [(self.codec.read_packet(data), now - seconds) for seconds, data in held]
+        self.logic.adopt_held(packets, now)
+        self.nursery.start_soon(self.udp_socket.run, self.inbox)
+
     async def answer_probe(self, request):
         """Return the Response to a readiness probe of the fabric; log a changed reason."""
         if request.path != READINESS_PATH:
@@ -155,6 +190,8 @@
         """Send the queued messages, and log the counters at their interval."""
         super().flush()
         now = trio.current_time()
+        if self.early is not None and self.can_take_over(now):
+            self.take_over(now)
         if now - self.counters_logged_at >= COUNTERS_INTERVAL_SECONDS:
             self.counters_logged_at = now
             counts = self.logic.counters.items()
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -68,6 +68,7 @@
     checked_reports: tuple = ()
 
     def __attrs_post_init__(self):
+        self.started_at = self.now
         self.timers = Timers()
         self.latencies = Latencies()
         self.evacuations = AppliedEvacuations(self.apply_evacuations)
@@ -121,6 +122,15 @@
         self.now = now
         self.cookie_router.handle_packet(packet, now)
 
+    def has_routes(self):
+        """Return whether settings and upstreams have arrived, so that packets are routed."""
+        return self.cookie_router.routes is not None and bool(self.upstreams.by_index)
+
+    def adopt_held(self, packets, now):
+        """Handle packets that were held elsewhere; each comes with the time of its arrival."""
+        self.now = now
+        self.cookie_router.adopt_held(packets, now)
+
     def submit(self, upstream, cookie, packet):
         """Forward a packet through the schedule of the own link."""
         routes = self.cookie_router.routes or {}
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -46,9 +46,6 @@
 # An instance without a packet for this long may be out of the fabric's rotation, with
 # its flows moved to another instance.
 OUT_OF_ROTATION_SECONDS = 0.3
-# After the evacuation of a data centre is withdrawn, its upstreams count as cold until each
-# has announced its state: two intervals of announcements and the way.
-REPORT_MARGIN_SECONDS = 0.5
 # How many flows are tracked, and for how long after their last packet.
 MAX_TRACKED_FLOWS = 65_536
 FLOW_IDLE_TIMEOUT_SECONDS = 15.0
@@ -353,12 +350,7 @@
         candidates = self.candidates(service, now)
         if service not in route.warming_services:
             return candidates
-        report_seconds = 2 * self.heartbeat_seconds + REPORT_MARGIN_SECONDS
-        return [
-            upstream
-            for upstream in candidates
-            if not self.upstreams.is_warming_up(upstream, now, report_seconds)
-        ]
+        return self.upstreams.exclude_warming_up(candidates, now, self.heartbeat_seconds)
 
     def find_refusal_reason(self, route, now):
         """Return why no upstream of a route may get a new flow."""
@@ -387,12 +379,18 @@
     def hold(self, packet, now):
         """Hold a packet in place of its earlier copies; drop the oldest if there is no room."""
         self.observe("held", packet=packet, reason=self.hold_reason(packet))
-        key = (packet.flow_key, packet.opens, packet.sequence, packet.size)
+        key = packet.identify()
         since, _ = self.held.pop(key, (now, None))
         self.held[key] = (since, packet)
         if len(self.held) > MAX_HELD_PACKETS:
             self.drop_held(*self.held.popitem(last=False)[1], "no_room", now)
 
+    def adopt_held(self, packets, now):
+        """Handle packets that were held elsewhere since the time that comes with each."""
+        for packet, since in packets:
+            self.held[packet.identify()] = (since, packet)
+        self.retry_held(now)
+
     def hold_reason(self, packet):
         """Return the reason why a packet is held."""
         if self.routes is None:
--- /dev/null
+++ b/lycheevalve/flows/early_routing.py
@@ -0,0 +1,160 @@
+"""
+Early routing: packets that arrive while an instance is still starting.
+
+Load: power or processes return, and all callers send at once, most of them on open
+flows. Importing an instance's modules takes longer than callers wait. Until that is done, a
+thread routes packets with the modules of the interpreter alone: it asks control replicas
+for the upstream of each cookie, and for upstreams of each front door, and holds a packet
+until one of them has answered.
+
+- An answer is used for a short time, so that an upstream that leaves gets no new flows.
+- No flow is placed under an older configuration than one already seen in use.
+- Whatever no replica vouches for is held, for the instance to handle once it has started.
+
+Nothing here does I/O or reads a clock; times are seconds of a clock that counts pauses.
+"""
+
+# A packet of an open flow is held for at most this long: its caller soon retransmits it.
+MAX_HOLD_SECONDS = 0.6
+# An opening packet is held longer, since its caller gives up only after 1.4 s.
+MAX_OPENING_HOLD_SECONDS = 1.2
+MAX_HELD_PACKETS = 1024
+# How long an answer of a replica is used. Upstreams that leave must get no new flows after
+# seconds, and are still served by open flows.
+TARGET_SECONDS = 1.0
+CANDIDATES_SECONDS = 0.5
+# Lookups are repeated after the first interval, which doubles up to the second, while
+# something is missing: a whole site that starts must not overload its replicas.
+MIN_LOOKUP_INTERVAL_SECONDS = 0.05
+MAX_LOOKUP_INTERVAL_SECONDS = 0.4
+# How many opening packets are remembered, to send their copies to other upstreams.
+MAX_OPENINGS = 4096
+# An upstream of another data centre gets a flow only if it has this many flows per slot
+# fewer than the local ones.
+REMOTE_PENALTY_FLOWS_PER_SLOT = 1.0
+
+
+class EarlyRouter:
+    """
+    Routes packets of a starting instance.
+
+    `forward(target, packet)` sends a packet to a lookups.Target. `random()` returns a
+    number from 0 to 1.
+    """
+
+    def __init__(self, forward, random):
+        self.forward = forward
+        self.random = random
+        # (Target, time until which it is used) by cookie.
+        self.targets = {}
+        # (Targets, time until which they are used) by front door.
+        self.candidates = {}
+        # (time of the first copy, packet) by what the copies have in common.
+        self.held = {}
+        # The cookies of the upstreams that got a copy of an opening packet, by flow.
+        self.openings = {}
+        # The flows placed here, by cookie.
+        self.placed = {}
+        # The newest configuration under which a flow was placed.
+        self.revision = 0
+        # What replicas were last asked for and have not answered, and when to ask again.
+        self.asked = set()
+        self.interval = MIN_LOOKUP_INTERVAL_SECONDS
+        self.lookup_due = float("inf")
+        # Counters for the log.
+        self.forwarded = self.opened = self.dropped = self.lookups = 0
+
+    def handle_packet(self, packet, now):
+        """Forward a packet, or hold it in place of its earlier copies."""
+        if self.try_forward(packet, now):
+            return
+        key = packet.identify()
+        since, _ = self.held.pop(key, (now, None))
+        self.held[key] = (since, packet)
+        if len(self.held) > MAX_HELD_PACKETS:
+            del self.held[next(iter(self.held))]
+            self.dropped += 1
+        if wanted_by(packet) not in self.asked:
+            self.interval, self.lookup_due = MIN_LOOKUP_INTERVAL_SECONDS, now
+
+    def try_forward(self, packet, now):
+        """Forward a packet if its upstream is known; return whether it was."""
+        if packet.opens:
+            return self.open_flow(packet, now)
+        target, until = self.targets.get(packet.cookie, (None, now))
+        if now >= until:
+            return False
+        self.forwarded += 1
+        self.forward(target, packet)
+        return True
+
+    def open_flow(self, packet, now):
+        """Place a flow on the least loaded candidate; copies go to other ones."""
+        candidates, until = self.candidates.get(packet.front_door, ((), now))
+        if now >= until or not candidates:
+            return False
+        tried = self.openings.pop(packet.flow_key, ())
+        untried = [target for target in candidates if target.cookie not in tried]
+        target = min(untried or candidates, key=self.estimate_cost)
+        self.openings[packet.flow_key] = (*tried, target.cookie)
+        if len(self.openings) > MAX_OPENINGS:
+            del self.openings[next(iter(self.openings))]
+        self.placed[target.cookie] = self.placed.get(target.cookie, 0) + 1
+        self.opened += 1
+        self.forward(target, packet)
+        return True
+
+    def estimate_cost(self, target):
+        """Return an upstream's load as seen from here, with a random tie-break."""
+        load = (self.placed.get(target.cookie, 0) + 1) / max(1, target.slots)
+        return load + (0.0 if target.is_local else REMOTE_PENALTY_FLOWS_PER_SLOT), self.random()
+
+    def handle_answer(self, answer, now):
+        """Use a replica's answer, and forward the held packets that it resolves."""
+        for target in answer.targets:
+            self.targets[target.cookie] = (target, now + TARGET_SECONDS)
+            self.asked.discard(target.cookie)
+        if answer.revision >= self.revision:
+            for front_door, targets in answer.candidates.items():
+                if targets:
+                    self.revision = answer.revision
+                    self.candidates[front_door] = (targets, now + CANDIDATES_SECONDS)
+                    self.asked.discard(front_door)
+                for target in targets:
+                    self.targets[target.cookie] = (target, now + TARGET_SECONDS)
+        self.retry_held(now)
+
+    def retry_held(self, now):
+        """Retry the held packets in the order of their arrival; drop those held too long."""
+        retried, self.held = self.held, {}
+        for key, (since, packet) in retried.items():
+            limit = MAX_OPENING_HOLD_SECONDS if packet.opens else MAX_HOLD_SECONDS
+            if now - since > limit:
+                self.dropped += 1
+            elif not self.try_forward(packet, now):
+                self.held[key] = (since, packet)
+
+    def take_lookup(self, now):
+        """
+        Return the (cookies, front doors) to ask for now, those of the held packets.
+
+        Both are empty when there is nothing to ask for.
+        """
+        if now < self.lookup_due:
+            return (), ()
+        packets = [packet for _, packet in self.held.values()]
+        cookies = {wanted_by(packet): None for packet in packets if not packet.opens}
+        front_doors = {wanted_by(packet): None for packet in packets if packet.opens}
+        self.asked = {*cookies, *front_doors}
+        if not self.asked:
+            self.lookup_due = float("inf")
+            return (), ()
+        self.lookup_due = now + self.interval * (0.5 + 0.5 * self.random())
+        self.interval = min(MAX_LOOKUP_INTERVAL_SECONDS, 2 * self.interval)
+        self.lookups += 1
+        return tuple(cookies), tuple(front_doors)
+
+
+def wanted_by(packet):
+    """Return what has to be known to forward a packet: its cookie or its front door."""
+    return packet.front_door if packet.opens else packet.cookie
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -20,6 +20,9 @@
 EXPIRED_RETENTION_SECONDS = 7200.0
 # A deregistered upstream serves this long, until it has its acknowledgement and exits.
 DEREGISTRATION_GRACE_SECONDS = 1.0
+# After the evacuation of a data centre is withdrawn, its upstreams count as cold until each
+# has announced its state: two intervals of announcements and the way.
+REPORT_MARGIN_SECONDS = 0.5
 
 
 class UpstreamState(enum.Enum):
@@ -202,6 +205,11 @@
             return True
         return now < upstream.reported_at + registration.warm_up_ms / 1000
 
+    def exclude_warming_up(self, upstreams, now, heartbeat_seconds):
+        """Return those of the upstreams that have warmed up."""
+        report_seconds = 2 * heartbeat_seconds + REPORT_MARGIN_SECONDS
+        return [u for u in upstreams if not self.is_warming_up(u, now, report_seconds)]
+
     def find(self, address, incarnation):
         """Return the upstream of an address (as text) and incarnation, or None."""
         return self.by_identity.get((address, incarnation))
--- a/lycheevalve/platform/__main__.py
+++ b/lycheevalve/platform/__main__.py
@@ -3,45 +3,42 @@
 
 Run: python -m lycheevalve.platform [SETTINGS]
 
-An entry instance binds its packet socket first, so that packets which arrive
-while the modules are imported are queued in the socket instead of lost.
+An entry instance binds its packet socket and forwards packets of open flows before the
+other modules are imported, which takes up to two seconds on a small machine.
 """
 
-import os
-import signal
-import socket
+import posix
 import sys
-import tomllib
+from _signal import SIG_IGN, SIGHUP, signal
 
-SETTINGS_VARIABLE = "LYCHEEVALVE_NODE_FILE"
-# Holds what arrives during the imports, which take up to two seconds on a small machine.
-RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+SETTINGS_VARIABLE = b"LYCHEEVALVE_NODE_FILE"
+# What the early thread needs, as `key=value` words; see early.py.
+EARLY_VARIABLE = b"LYCHEEVALVE_EARLY"
 
 
-def bind_early(path):
-    """Return the bound packet socket, or None; run() reports errors in the settings."""
+def start_early(words):
+    """Return (the running early forwarder or None, why there is none)."""
+    if not words:
+        return None, ""
+    from lycheevalve.platform import early
+
     try:
-        with open(path, "rb") as file:
-            host, port = tomllib.load(file)["packets"].split(":")
-    except (OSError, ValueError, KeyError, AttributeError):
-        return None
-    early_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    early_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    early_socket.bind((host, int(port)))
-    return early_socket
+        return early.start_early(words), ""
+    except (OSError, ValueError) as error:
+        return None, str(error)
 
 
 def main(arguments):
     """Run one process; return its exit code."""
     # The default action of SIGHUP would end the process before watch_signals runs; a signal
     # that is ignored here loses nothing, as the settings are read afterwards.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
-    early_socket = bind_early(path)
-    # Imported after the socket is bound: the imports take most of the startup time.
+    signal(SIGHUP, SIG_IGN)
+    early, early_error = start_early(posix.environ.get(EARLY_VARIABLE, b"").decode())
+    path = arguments[0] if arguments else posix.environ.get(SETTINGS_VARIABLE, b"").decode()
+    # Imported after the early thread has started: the imports take most of the startup time.
     from lycheevalve.platform.run import run
 
-    return run(path, early_socket)
+    return run(path, early, early_error)
 
 
 if __name__ == "__main__":
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -17,17 +17,18 @@
 SETTINGS_POLL_INTERVAL_SECONDS = 2.0
 
 
-def make_process(settings, early_socket):
+def make_process(settings, early):
     """Return the process of a role; only the modules of that role are imported."""
     if settings.role == ENTRY:
         from lycheevalve.daemon.entry import EntryProcess
         from lycheevalve.platform.codec import Codec
 
-        return EntryProcess(settings, Codec(settings), early_socket)
+        return EntryProcess(settings, Codec(settings), early)
     from lycheevalve.daemon.control import ControlProcess
+    from lycheevalve.platform.documents import read_routes
     from lycheevalve.platform.operators import make_server
 
-    return ControlProcess(settings, make_server)
+    return ControlProcess(settings, make_server, read_routes)
 
 
 async def watch_signals(process, path):
@@ -73,9 +74,9 @@
     record("reloaded", changed=reloadable)
 
 
-async def run_process(settings, path, early_socket):
+async def run_process(settings, path, early):
     """Run the process and watch signals and the settings file until it has stopped."""
-    process = make_process(settings, early_socket)
+    process = make_process(settings, early)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_signals, process, path)
         nursery.start_soon(watch_settings, process, path)
@@ -84,8 +85,12 @@
         nursery.cancel_scope.cancel()
 
 
-def run(path, early_socket=None):
-    """Run a process with the settings of a file; return its exit code."""
+def run(path, early=None, early_error=""):
+    """
+    Run a process with the settings of a file; return its exit code.
+
+    `early` is the EarlyForwarder that runs already, or `early_error` says why none does.
+    """
     settings = None
     try:
         settings = load_role_settings(path)
@@ -95,8 +100,10 @@
     if settings is None:
         return EXIT_INVALID_INPUT
     set_up_logs(settings.log_level, instance=settings.name)
+    if early_error:
+        record("early_unavailable", reason=early_error)
     try:
-        trio.run(run_process, settings, path, early_socket)
+        trio.run(run_process, settings, path, early)
     finally:
         writer.close()
     return 0
--- a/lycheevalve/tests/fakes/entry.py
+++ b/lycheevalve/tests/fakes/entry.py
@@ -5,7 +5,8 @@
 import attrs
 
 from lycheevalve.flows.cookie_routing import CookieRouter
-from lycheevalve.flows.front_doors import FrontDoorRoute, Packet
+from lycheevalve.flows.front_doors import FrontDoorRoute
+from lycheevalve.flows.packets import Packet
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.schema.generated.messages import Registration
 
--- a/lycheevalve/tests/fakes/platform.py
+++ b/lycheevalve/tests/fakes/platform.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lycheevalve.platform.packets import ACK, FIN, HEADER, RST, SYN, TARGET, ZERO_PADDING
+from lycheevalve.platform.headers import ACK, FIN, HEADER, RST, SYN, TARGET, ZERO_PADDING
 
 __all__ = ["ACK", "FIN", "RST", "SYN"]
 READY_PATH = "/ready"
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -17,7 +17,7 @@
 )
 from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.flows.upstreams import Upstreams
-from lycheevalve.platform import operators, packets
+from lycheevalve.platform import headers, operators, packets
 from lycheevalve.platform.documents import decompress_document, read_document, read_routes
 from lycheevalve.platform.heartbeats import read_heartbeat
 from lycheevalve.schema.generated.messages import ChangeResult, Configuration
@@ -45,7 +45,7 @@
     def test_reset_carries_the_last_acknowledgement(self):
         packet = packets.read_packet(build_data(acknowledged=777))
         data, _ = packets.build_reset(packet, FABRIC_PORT)
-        assert packets.HEADER.unpack(data)[1] == 777
+        assert headers.HEADER.unpack(data)[1] == 777
 
     def test_forwarding_changes_only_the_cookie(self):
         upstreams = Upstreams()
@@ -58,7 +58,7 @@
         assert address == ("10.128.0.1", 8080)
 
     def test_opening_packet_has_its_retransmission_count(self):
-        data = packets.HEADER.pack(0, 5, 2, 9, packets.SYN, bytes(3), b"abcd", 1, 2, b"efgh", 0)
+        data = headers.HEADER.pack(0, 5, 2, 9, headers.SYN, bytes(3), b"abcd", 1, 2, b"efgh", 0)
         packet = packets.read_packet(data)
         assert (packet.opens, packet.copy) == (True, 2)
 
@@ -90,8 +90,8 @@
 
 def build_data(acknowledged=0, data=b"GET / HTTP/1.1\r\n"):
     """Return a data packet of an established flow."""
-    fields = (1, 5, acknowledged, 9, packets.ACK, bytes(3), b"abcd", 1, 2, b"efgh", len(data))
-    return packets.HEADER.pack(*fields) + data
+    fields = (1, 5, acknowledged, 9, headers.ACK, bytes(3), b"abcd", 1, 2, b"efgh", len(data))
+    return headers.HEADER.pack(*fields) + data
 
 
 def build_value(version=7, **changes):
--- a/lycheevalve/tests/test_start.py
+++ b/lycheevalve/tests/test_start.py
@@ -26,7 +26,7 @@
         """A SIGHUP during the imports ended four replicas without a log line (soak seed 15)."""
         handlers = []
 
-        def start(path, early_socket):
+        def start(path, early, early_error):
             handlers.append(signal.getsignal(signal.SIGHUP))
             return 0
 
