Answer lookups of starting instances while a replica starts too

Cause: after a power loss replicas answer lookups 0.27 s after their processes start, when their modules are imported.

Change: a thread answers for upstreams of open flows from a table on the replica's disk, written with the cache of upstreams, for the two seconds for which restored leases hold.

--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -117,17 +117,14 @@
         return path
 
     def build_environment(self, machine):
-        """Return the variables from which an entry instance starts its early thread."""
-        if machine.role != "entry":
-            return {}
-        words = {
-            "packets": f"{machine.ip}:{self.fabric_port}",
-            "ip": machine.ip,
-            "link_port": LINK_PORT,
-            "seeds": ",".join(self.list_seeds()),
-            "data_centre": machine.zone,
-            "key": KEY,
-        }
+        """Return the variables from which a process starts its early thread."""
+        words = {"ip": machine.ip, "link_port": LINK_PORT, "key": KEY}
+        if machine.role == "entry":
+            words["packets"] = f"{machine.ip}:{self.fabric_port}"
+            words["seeds"] = ",".join(self.list_seeds())
+            words["data_centre"] = machine.zone
+        else:
+            words["data_folder"] = self.folder / f"data-{machine.name}"
         early = " ".join(f"{key}={value}" for key, value in words.items())
         return {"LYCHEEVALVE_EARLY": early}
 
--- a/lycheevalve/coordination/upstream_cache.py
+++ b/lycheevalve/coordination/upstream_cache.py
@@ -17,8 +17,11 @@
 from lycheevalve.exceptions import FrameError, StorageError
 from lycheevalve.schema.frames import decode_struct, encode_struct
 from lycheevalve.schema.generated.messages import Registrations
+from lycheevalve.schema.lookups import encode_table
 
 FILE_NAME = "upstreams"
+# The same upstreams for lookups, read before this module can be imported.
+TABLE_FILE_NAME = "lookups"
 # Upstreams announce themselves about once a second; this tolerates one lost announcement.
 RESTORED_LEASE_MS = 2000
 # Changes of the table are written in batches, at most this often.
@@ -34,6 +37,14 @@
         raise StorageError(str(error), "write upstream cache", str(folder)) from error
 
 
+def write_lookup_table(folder, targets, key):
+    """Write the Targets of lookups; raise StorageError on failure."""
+    try:
+        replace_file(folder / TABLE_FILE_NAME, encode_table(key, targets))
+    except OSError as error:
+        raise StorageError(str(error), "write lookup table", str(folder)) from error
+
+
 def read_upstream_cache(folder):
     """Return the cached registrations with short leases; raise StorageError on failure."""
     path = folder / FILE_NAME
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -13,6 +13,7 @@
 from lycheevalve.coordination.upstream_cache import (
     WRITE_INTERVAL_SECONDS,
     read_upstream_cache,
+    write_lookup_table,
     write_upstream_cache,
 )
 from lycheevalve.daemon.events import (
@@ -81,9 +82,10 @@
 
     `make_server(process)` returns the Server for operators and upstreams, and
     `read_routes(document)` the routes of a configuration by front door, see platform/.
+    `early` is the EarlyResponder that answers lookups until this process does, or None.
     """
 
-    def __init__(self, settings, make_server, read_routes):
+    def __init__(self, settings, make_server, read_routes, early=None):
         super().__init__(settings)
         self.logic = ControlReplica(
             address=self.address,
@@ -98,6 +100,7 @@
         self.lookup_key = derive_key(settings.key.encode())
         self.lookup_socket = None
         self.make_server = make_server
+        self.early = early
         self.view = ReplicaView()
         self.calls = {}
         self.links = None
@@ -130,12 +133,29 @@
         )
         nursery.start_soon(task.run, receiver)
         await self.load_upstreams()
+        self.take_over_lookups()
+        nursery.start_soon(self.lookup_socket.run, self.inbox)
         nursery.start_soon(self.store_upstreams)
         await self.serve_links(nursery, self.handle_link_message)
-        self.lookup_socket = UdpSocket(parse_address(self.address))
-        nursery.start_soon(self.lookup_socket.run, self.inbox)
         await nursery.start(self.make_server(self).run)
 
+    def take_over_lookups(self):
+        """Stop the early thread, and answer lookups here from now on."""
+        early, self.early = self.early, None
+        if early is None:
+            self.lookup_socket = UdpSocket(parse_address(self.address))
+            return
+        early.stop()
+        record(
+            "early_lookups",
+            duration_ms=round(early.thread.age() * 1000),
+            answered=early.answered,
+            malformed=early.malformed,
+            upstreams=len(early.targets),
+            error=early.thread.error,
+        )
+        self.lookup_socket = UdpSocket(parse_address(self.address), early.socket)
+
     # Persisted upstreams.
 
     async def load_upstreams(self):
@@ -159,9 +179,14 @@
             version = self.logic.feed.urgent_version
             if version == stored:
                 continue
-            leases = self.logic.upstreams.live_leases(trio.current_time())
+            now = trio.current_time()
+            leases = self.logic.upstreams.live_leases(now)
+            targets = self.logic.lookups.list_targets(now)
             try:
                 await trio.to_thread.run_sync(write_upstream_cache, folder, leases)
+                await trio.to_thread.run_sync(
+                    write_lookup_table, folder, targets, self.lookup_key
+                )
                 stored = version
             except StorageError as error:
                 record("upstreams_unwritten", reason=str(error))
--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -1,8 +1,10 @@
 """
-The thread that forwards packets while the modules of an instance are imported.
+Threads that work while the modules of a process are imported, which takes long.
 
-It owns the packet socket until the instance takes over. It is started before anything
-else is imported and uses modules written in C; see flows/early_routing.py.
+An entry instance forwards packets, see flows/early_routing.py, and a control replica
+answers the lookups for that from the table on its disk. A thread is started before anything
+else is imported, uses modules written in C, and owns its sockets until the process takes
+over.
 """
 
 import posix
@@ -16,9 +18,13 @@
     MAX_COOKIES,
     MAX_FRONT_DOORS,
     NONCE,
+    Answer,
     Lookup,
     decode_answer,
+    decode_lookup,
+    decode_table,
     derive_key,
+    encode_answer,
     encode_lookup,
 )
 
@@ -27,6 +33,9 @@
 # Packets handled before lookups and answers are: both wait for the processor together.
 BATCH_DATAGRAMS = 64
 POLL_MILLISECONDS = 25
+READ_BYTES = 1 << 20
+# Upstreams announce themselves about once a second; this tolerates one lost announcement.
+RESTORED_LEASE_SECONDS = 2.0
 # Lookups whose answers may still arrive.
 MAX_PENDING_LOOKUPS = 64
 
@@ -52,9 +61,73 @@
     return opened
 
 
+def read_datagrams(source):
+    """Return up to a batch of the (datagram, sender) that wait in a socket."""
+    batch = []
+    for _ in range(BATCH_DATAGRAMS):
+        try:
+            batch.append(source.recvfrom(MAX_DATAGRAM_BYTES))
+        except BlockingIOError:
+            break
+        except ConnectionError:
+            # An ICMP error for an earlier datagram: its receiver's port is closed.
+            continue
+    return batch
+
+
+class EarlyThread:
+    """
+    A thread that calls `handle(now)` when one of its sockets is readable, and regularly.
+
+    `error` describes the error that ended it, if any: the datagrams then wait in the
+    sockets until the process has started.
+    """
+
+    def __init__(self, sockets, handle):
+        self.sockets = sockets
+        self.handle = handle
+        self.wake_reader, self.wake_writer = posix.pipe()
+        self.stopped = allocate_lock()
+        self.started_at = read_clock()
+        self.error = ""
+
+    def start(self):
+        """Start the thread."""
+        self.stopped.acquire()
+        start_new_thread(self.run, ())
+
+    def stop(self):
+        """Stop the thread, and return once it has ended; its sockets stay open."""
+        posix.write(self.wake_writer, b"x")
+        self.stopped.acquire()
+        posix.close(self.wake_reader)
+        posix.close(self.wake_writer)
+
+    def age(self):
+        """Return for how many seconds the thread has existed."""
+        return read_clock() - self.started_at
+
+    def run(self):
+        """Serve until `stop` is called."""
+        try:
+            self.serve()
+        except Exception as error:
+            self.error = repr(error)
+        finally:
+            self.stopped.release()
+
+    def serve(self):
+        """Wait for datagrams and handle them until the wake-up arrives."""
+        poll = select.poll()
+        for descriptor in (*self.sockets, self.wake_reader):
+            poll.register(descriptor, select.POLLIN)
+        while self.wake_reader not in dict(poll.poll(POLL_MILLISECONDS)):
+            self.handle(read_clock())
+
+
 class EarlyForwarder:
     """
-    Forwards packets in a thread of its own until `stop` is called.
+    Forwards the packets of an entry instance until `stop` is called.
 
     `packets` and `lookups` are the (ip, port) of the packet socket and of the one for
     lookups, `replicas` those of the control replicas. `codec` has `read_packet(data)`, which
@@ -70,14 +143,11 @@
         self.router = EarlyRouter(self.forward, self.draw)
         self.packet_socket = open_datagram_socket(packets)
         self.lookup_socket = open_datagram_socket(lookups)
-        self.wake_reader, self.wake_writer = posix.pipe()
-        self.stopped = allocate_lock()
-        self.started_at = read_clock()
+        self.thread = EarlyThread((self.packet_socket, self.lookup_socket), self.handle)
         self.nonce = 0
         self.pending = {}
-        # Counters for the log, and the error that ended the thread.
+        # Counters for the log.
         self.malformed = self.unsent = 0
-        self.error = ""
 
     @staticmethod
     def draw():
@@ -86,12 +156,7 @@
 
     def start(self):
         """Start the thread."""
-        self.stopped.acquire()
-        start_new_thread(self.run, ())
-
-    def age(self):
-        """Return for how many seconds packets have been handled here."""
-        return read_clock() - self.started_at
+        self.thread.start()
 
     def stop(self):
         """
@@ -99,54 +164,19 @@
 
         The packet socket stays open for the instance.
         """
-        posix.write(self.wake_writer, b"x")
-        self.stopped.acquire()
+        self.thread.stop()
         self.lookup_socket.close()
-        posix.close(self.wake_reader)
-        posix.close(self.wake_writer)
         now = read_clock()
         return [(now - since, packet.raw) for since, packet in self.router.held.values()]
 
-    def run(self):
-        """Handle packets and answers until the instance takes over."""
-        try:
-            self.serve()
-        except Exception as error:
-            # Packets wait in the socket until the instance has started.
-            self.error = repr(error)
-        finally:
-            self.stopped.release()
-
-    def serve(self):
-        """Handle packets and answers until the wake-up arrives."""
-        poll = select.poll()
-        for descriptor in (self.packet_socket, self.lookup_socket, self.wake_reader):
-            poll.register(descriptor, select.POLLIN)
-        while True:
-            ready = {descriptor for descriptor, _ in poll.poll(POLL_MILLISECONDS)}
-            if self.wake_reader in ready:
-                return
-            now = read_clock()
-            for data in self.read_datagrams(self.lookup_socket):
-                self.handle_answer(data, now)
-            for data in self.read_datagrams(self.packet_socket):
-                self.handle_datagram(data, now)
-            self.router.retry_held(now)
-            self.send_lookups(now)
-
-    @staticmethod
-    def read_datagrams(source):
-        """Return up to a batch of the datagrams that wait in a socket."""
-        batch = []
-        for _ in range(BATCH_DATAGRAMS):
-            try:
-                batch.append(source.recv(MAX_DATAGRAM_BYTES))
-            except BlockingIOError:
-                break
-            except ConnectionError:
-                # An ICMP error for an earlier datagram: its receiver's port is closed.
-                continue
-        return batch
+    def handle(self, now):
+        """Handle the answers and packets that have arrived, and what is due."""
+        for data, _ in read_datagrams(self.lookup_socket):
+            self.handle_answer(data, now)
+        for data, _ in read_datagrams(self.packet_socket):
+            self.handle_datagram(data, now)
+        self.router.retry_held(now)
+        self.send_lookups(now)
 
     def handle_datagram(self, data, now):
         """Handle a caller's packet."""
@@ -199,3 +229,64 @@
             sender.sendto(datagram, address)
         except OSError:
             self.unsent += 1
+
+
+class EarlyResponder:
+    """
+    Answers lookups of a control replica from the table on its disk until `stop` is called.
+
+    It names upstreams of open flows only, as it may have missed drains and configurations,
+    and no longer than the leases last that the replica restores from its disk.
+    """
+
+    def __init__(self, address, table_path, key):
+        self.key = derive_key(key.encode())
+        self.targets = read_table(table_path, self.key)
+        self.socket = open_datagram_socket(address)
+        self.thread = EarlyThread((self.socket,), self.handle)
+        self.answered = self.malformed = 0
+
+    def start(self):
+        """Start the thread."""
+        self.thread.start()
+
+    def stop(self):
+        """Stop the thread; the socket stays open for the replica."""
+        self.thread.stop()
+
+    def handle(self, now):
+        """Answer the lookups that have arrived."""
+        for data, source in read_datagrams(self.socket):
+            try:
+                lookup = decode_lookup(self.key, data)
+            except ValueError:
+                self.malformed += 1
+                continue
+            found = [self.targets[c] for c in lookup.cookies if c in self.targets]
+            if not found or now - self.thread.started_at > RESTORED_LEASE_SECONDS:
+                continue
+            try:
+                answer = encode_answer(self.key, Answer(lookup.nonce, 0, found))
+                self.socket.sendto(answer, source)
+                self.answered += 1
+            except OSError:
+                # Lost as in transit; the instance asks again.
+                continue
+
+
+def read_table(path, key):
+    """Return the Targets in a file by cookie; none if it is missing or damaged."""
+    try:
+        descriptor = posix.open(path, posix.O_RDONLY)
+    except FileNotFoundError:
+        return {}
+    try:
+        chunks = []
+        while chunk := posix.read(descriptor, READ_BYTES):
+            chunks.append(chunk)
+    finally:
+        posix.close(descriptor)
+    try:
+        return {target.cookie: target for target in decode_table(key, b"".join(chunks))}
+    except ValueError:
+        return {}
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -83,7 +83,7 @@
         router = early.router
         record(
             "early_forwarding",
-            duration_ms=round(early.age() * 1000),
+            duration_ms=round(early.thread.age() * 1000),
             forwarded=router.forwarded,
             opened=router.opened,
             held=len(held),
@@ -91,7 +91,7 @@
             malformed=early.malformed,
             unsent=early.unsent,
             lookups=router.lookups,
-            error=early.error,
+            error=early.thread.error,
         )
         packets = [(self.codec.read_packet(data), now - seconds) for seconds, data in held]
         self.logic.adopt_held(packets, now)
--- a/lycheevalve/flows/lookups.py
+++ b/lycheevalve/flows/lookups.py
@@ -40,6 +40,11 @@
         """Replace the routes with those of a configuration."""
         self.routes, self.revision = routes, revision
 
+    def list_targets(self, now):
+        """Return the Targets of all upstreams with valid leases."""
+        upstreams = self.upstreams.by_address.values()
+        return [build_target(u, "") for u in upstreams if u.cookie and is_valid(u, now)]
+
     def answer(self, lookup, is_current, now):
         """Return the Answer to a Lookup."""
         found = [self.cookies.find(cookie) for cookie in lookup.cookies]
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -150,10 +150,22 @@
             "error": str,
         },
     ),
+    Event(
+        "early_lookups",
+        INFO,
+        "The replica took over from the thread that answered lookups during its start.",
+        {
+            "duration_ms": int,
+            "answered": int,
+            "malformed": int,
+            "upstreams": int,
+            "error": str,
+        },
+    ),
     Event(
         "early_unavailable",
         WARNING,
-        "No packets are forwarded until the instance has started.",
+        "Nothing is forwarded or answered until the process has started.",
         {"reason": str},
     ),
     Event(
--- a/lycheevalve/platform/early.py
+++ b/lycheevalve/platform/early.py
@@ -1,14 +1,17 @@
 """
-The start of an entry instance, before its settings file is read.
+The start of a process, before its settings file is read.
 
 What the early thread needs is in one environment variable, as parsing the settings file
 takes longer than the thread needs for its first packets.
 """
 
-from lycheevalve.daemon.early import EarlyForwarder, parse_host_and_port
+from lycheevalve.daemon.early import EarlyForwarder, EarlyResponder, parse_host_and_port
 from lycheevalve.platform import headers
 
-KEYS = ("packets", "ip", "link_port", "seeds", "data_centre", "key")
+COMMON_KEYS = ("ip", "link_port", "key")
+ENTRY_KEYS = ("packets", "seeds", "data_centre")
+# The name of the file is that of coordination/upstream_cache.py.
+TABLE_FILE_NAME = "lookups"
 
 
 class EarlyCodec:
@@ -24,23 +27,37 @@
 
 def start_early(words):
     """
-    Return the running EarlyForwarder for `key=value` words.
+    Return the running EarlyForwarder or EarlyResponder for `key=value` words.
 
-    Raise ValueError or OSError if they are invalid; the instance then starts without it.
+    A control replica has `data_folder` among them. Raise ValueError or OSError if they are
+    invalid; the process then starts without it.
     """
     values = dict(word.split("=", 1) for word in words.split())
-    missing = [key for key in KEYS if not values.get(key)]
+    is_control = bool(values.get("data_folder"))
+    keys = COMMON_KEYS if is_control else (*COMMON_KEYS, *ENTRY_KEYS)
+    missing = [key for key in keys if not values.get(key)]
     if missing:
         raise ValueError(f"missing {', '.join(missing)}")
-    link_port = int(values["link_port"])
+    build = build_responder if is_control else build_forwarder
+    early = build(values, (values["ip"], int(values["link_port"])))
+    early.start()
+    return early
+
+
+def build_responder(values, address):
+    """Return the EarlyResponder of a control replica."""
+    path = f"{values['data_folder']}/{TABLE_FILE_NAME}"
+    return EarlyResponder(address, path, values["key"])
+
+
+def build_forwarder(values, address):
+    """Return the EarlyForwarder of an entry instance."""
     hosts = dict.fromkeys(seed.rpartition(":")[0] for seed in values["seeds"].split(","))
-    forwarder = EarlyForwarder(
+    return EarlyForwarder(
         packets=parse_host_and_port(values["packets"]),
-        lookups=(values["ip"], link_port),
-        replicas=[(host, link_port) for host in hosts],
+        lookups=address,
+        replicas=[(host, address[1]) for host in hosts],
         key=values["key"],
         data_centre=values["data_centre"],
         codec=EarlyCodec,
     )
-    forwarder.start()
-    return forwarder
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -28,7 +28,7 @@
     from lycheevalve.platform.documents import read_routes
     from lycheevalve.platform.operators import make_server
 
-    return ControlProcess(settings, make_server, read_routes)
+    return ControlProcess(settings, make_server, read_routes, early)
 
 
 async def watch_signals(process, path):
@@ -89,7 +89,8 @@
     """
     Run a process with the settings of a file; return its exit code.
 
-    `early` is the EarlyForwarder that runs already, or `early_error` says why none does.
+    `early` is the EarlyForwarder or EarlyResponder that runs already; `early_error` says why
+    there is none.
     """
     settings = None
     try:
--- a/lycheevalve/schema/lookups.py
+++ b/lycheevalve/schema/lookups.py
@@ -15,6 +15,9 @@
 the targets. A target is its cookie, ip and port, its slots, 1 if it is in the sender's data
 centre, the length of its name (1 byte each) and the name.
 
+A table has all targets that a replica knows, and is stored on its disk: the prefix and the
+targets.
+
 Each ends with a keyed BLAKE2 hash, which both sides verify.
 """
 
@@ -24,7 +27,7 @@
 PREFIX = struct.Struct(">BBBB")
 MAGIC = 0x4C
 VERSION = 1
-LOOKUP, ANSWER = 1, 2
+LOOKUP, ANSWER, TABLE = 1, 2, 3
 NONCE = struct.Struct(">Q")
 COUNTS = struct.Struct(">BBB")
 COOKIE = struct.Struct(">I")
@@ -172,6 +175,24 @@
     return Answer(nonce, revision, targets, candidates)
 
 
+def encode_table(key, targets):
+    """Return Targets as a signed table."""
+    prefix = PREFIX.pack(MAGIC, VERSION, TABLE, 0)
+    return sign(key, prefix + b"".join(map(encode_target, targets)))
+
+
+def decode_table(key, data):
+    """Return the Targets of a table; raise ValueError if it is damaged."""
+    body, targets, start = verify(key, data, TABLE), [], 0
+    try:
+        while start < len(body):
+            found, start = decode_targets(body, start, 1)
+            targets += found
+    except struct.error as error:
+        raise ValueError(f"truncated table: {error}") from error
+    return targets
+
+
 def decode_targets(body, start, count):
     """Return (list of `count` Targets, their end)."""
     targets = []
--- a/lycheevalve/tests/test_early_routing.py
+++ b/lycheevalve/tests/test_early_routing.py
@@ -368,10 +368,10 @@
 
         site = Site(BrokenCodec)
         site.send(flags=SYN)
-        assert site.forwarder.stopped.acquire(timeout=10)
-        site.forwarder.stopped.release()
+        assert site.forwarder.thread.stopped.acquire(timeout=10)
+        site.forwarder.thread.stopped.release()
         assert site.forwarder.stop() == []
-        assert "broken" in site.forwarder.error
+        assert "broken" in site.forwarder.thread.error
         site.close()
 
 
