Let a leaving instance exit once its packets have ceased

Hypothesis: instances of a data centre restart in turn every 1.2 to 1.4 s, each is away for 2.5 s of leaving and some 2 s of starting, so several are away at once.

Change: an instance exits 0.4 s after its packets have ceased and two probes have failed, at most a second before it would be killed (flows/departure.py), not after a fixed 2.5 s.

--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -11,13 +11,11 @@
 from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.entry import EntryInstance
 from lycheevalve.exceptions import DatagramError
+from lycheevalve.flows.departure import Departure
 from lycheevalve.logs.queue import record
 from lycheevalve.logs.schema import EVENTS
 from lycheevalve.utils.addresses import parse_address
 
-# A stopping instance forwards until the fabric has sent its flows elsewhere: two failed
-# readiness probes half a second apart, and the packets in flight.
-SHUTDOWN_SECONDS = 2.5
 # Without settings from a replica the early thread forwards for at most this long.
 MAX_EARLY_SECONDS = 3.0
 COUNTERS_INTERVAL_SECONDS = 10.0
@@ -42,7 +40,7 @@
         self.udp_socket = None
         # The reason in the last answer to a readiness probe: empty when ready.
         self.unready_reason = None
-        self.stopping_since = 0.0
+        self.departure = None
         self.counters_logged_at = trio.current_time()
         self.logic = EntryInstance(
             address=self.address,
@@ -101,7 +99,10 @@
         """Return the Response to a readiness probe of the fabric; log a changed reason."""
         if request.path != READINESS_PATH:
             return Response(404)
-        reason = self.logic.unready_reason(trio.current_time())
+        now = trio.current_time()
+        if self.departure is not None:
+            self.departure.record_probe(now)
+        reason = self.logic.unready_reason(now)
         if reason != self.unready_reason:
             self.unready_reason = reason
             record("ready", ready=not reason, reason=reason)
@@ -200,14 +201,16 @@
 
     async def handle_stop(self, event):
         """Start the graceful stop: readiness probes fail from now on."""
-        if not self.stopping_since:
-            self.stopping_since = trio.current_time()
+        if self.departure is None:
+            self.departure = Departure(trio.current_time(), self.settings.stop_seconds)
             self.logic.leaving = True
             record("leaving")
 
     def is_stopped(self, now):
         """Return whether the graceful stop is complete."""
-        return bool(self.stopping_since) and now - self.stopping_since >= SHUTDOWN_SECONDS
+        if self.departure is None:
+            return False
+        return self.departure.is_complete(self.logic.cookie_router.last_packet_at, now)
 
 
 def describe_upstream(upstream, now):
