Give cold upstreams new flows in proportion to their warm-up

Change: the warm-up that an upstream announces reduces its slots in the choice, from a tenth to all of them. Also: the early thread shortens the interpreter's switch interval, as each datagram hands the lock to the importing thread.

--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -9,6 +9,7 @@
 
 import posix
 import select
+import sys
 import time
 from _socket import AF_INET, SO_RCVBUF, SO_SNDBUF, SOCK_DGRAM, SOL_SOCKET, inet_ntoa, socket
 from _thread import allocate_lock, start_new_thread
@@ -34,6 +35,9 @@
 BATCH_DATAGRAMS = 64
 POLL_MILLISECONDS = 25
 READ_BYTES = 1 << 20
+# Each datagram received or sent hands the interpreter's lock to the thread that imports
+# modules, which returns it after this time.
+SWITCH_INTERVAL_SECONDS = 0.0005
 # Upstreams announce themselves about once a second; this tolerates one lost announcement.
 RESTORED_LEASE_SECONDS = 2.0
 # Lookups whose answers may still arrive.
@@ -89,15 +93,18 @@
         self.wake_reader, self.wake_writer = posix.pipe()
         self.stopped = allocate_lock()
         self.started_at = read_clock()
+        self.switch_interval = sys.getswitchinterval()
         self.error = ""
 
     def start(self):
         """Start the thread."""
+        sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
         self.stopped.acquire()
         start_new_thread(self.run, ())
 
     def stop(self):
         """Stop the thread, and return once it has ended; its sockets stay open."""
+        sys.setswitchinterval(self.switch_interval)
         posix.write(self.wake_writer, b"x")
         self.stopped.acquire()
         posix.close(self.wake_reader)
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -369,7 +369,7 @@
 
     def cost(self, upstream, now):
         """Return an upstream's load as seen from here, with a random tie-break; lowest wins."""
-        slots = max(1, upstream.registration.slots)
+        slots = max(1, upstream.registration.slots) * upstream.announced_share(now)
         load = (upstream.flows + 1) / slots * 2.0 ** decayed_failure_count(upstream, now)
         is_local = upstream.registration.data_centre == self.data_centre
         return load + (0.0 if is_local else REMOTE_PENALTY_FLOWS_PER_SLOT), self.random.random()
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -24,6 +24,9 @@
 # has announced its state: two intervals of announcements and the way.
 REPORT_MARGIN_SECONDS = 0.5
 
+# A cold upstream gets at least this fraction of its share of new work.
+MIN_WARM_UP_SHARE = 0.1
+
 
 class UpstreamState(enum.Enum):
     """Whether an upstream gets new work, only keeps its flows, or gets nothing."""
@@ -102,11 +105,24 @@
         """Return whether its process has exited, after it was replaced or deregistered."""
         return self.replaced or now - self.deregistered_at > DEREGISTRATION_GRACE_SECONDS
 
+    def announced_share(self, now):
+        """
+        Return the fraction of its capacity that it announces while it warms up, 0.1 to 1.
+
+        The time that is left counts from its last announcement that arrived here.
+        """
+        ends_at = self.reported_at + self.registration.warm_up_ms / 1000
+        if now >= ends_at:
+            return 1.0
+        elapsed = max(0.0, now - self.started_at)
+        return MIN_WARM_UP_SHARE + (1 - MIN_WARM_UP_SHARE) * elapsed / (elapsed + ends_at - now)
+
     def warm_up_share(self, now, warm_up_seconds):
         """Return the fraction of its capacity that it gets while it warms up, 0.1 to 1."""
         if warm_up_seconds <= 0:
             return 1.0
-        return min(1.0, 0.1 + 0.9 * (now - self.started_at) / warm_up_seconds)
+        share = (now - self.started_at) / warm_up_seconds
+        return min(1.0, MIN_WARM_UP_SHARE + (1 - MIN_WARM_UP_SHARE) * share)
 
 
 def version_of(registration):
--- a/lycheevalve/tests/test_cookie_routing.py
+++ b/lycheevalve/tests/test_cookie_routing.py
@@ -302,3 +302,35 @@
 
 
 TestCookieRouting = CookieRoutingMachine.TestCase
+
+
+class TestSlowStart:
+    """Release of a service: empty upstreams that are still slow join the others."""
+
+    def place_flows(self, entry, now, count=40):
+        """Open flows; return how many the upstream 2 got."""
+        cookies = [
+            entry.handle(build_packet(flow_key=b"%d-%f" % (n, now), opens=True), now)[0]
+            for n in range(count)
+        ]
+        return sum(u.registration.address == "10.128.0.2:8080" for u in cookies)
+
+    def test_a_cold_upstream_gets_flows_in_proportion_to_its_progress(self):
+        """Without that the empty upstream gets all new flows until it has as many."""
+        entry = build_entry(1)
+        assert self.place_flows(entry, 0.0) == 0
+        registration = build_registration(2, warm_up_ms=4000, known_ms=0)
+        entry.update_upstreams(registration, now=1.0)
+        assert self.place_flows(entry, 1.0) <= 8
+        assert self.place_flows(entry, 3.0) < 40
+
+    def test_a_warm_upstream_is_filled_up(self):
+        entry = build_entry(1)
+        self.place_flows(entry, 0.0)
+        entry.update_upstreams(build_registration(2, warm_up_ms=1000), now=1.0)
+        assert self.place_flows(entry, 2.1) >= 38
+
+    def test_a_cold_upstream_serves_if_there_is_no_other(self):
+        entry = build_entry(0)
+        entry.update_upstreams(build_registration(2, warm_up_ms=4000))
+        assert self.place_flows(entry, 0.0) == 40
