Let new flows wait for the configuration that the early thread used

Cause: the thread may use an answer under a newer configuration between the check and its end; the instance would then place flows under the older one, which must not be in force again in the same process.

Change: the take-over passes the revision; new flows wait until an update arrives with that configuration in force. Tests: order of held packets, their age, and the wait.

--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -92,7 +92,7 @@
             error=early.thread.error,
         )
         packets = [(self.codec.read_packet(data), now - seconds) for seconds, data in held]
-        self.logic.adopt_held(packets, now)
+        self.logic.take_over(packets, router.revision, now)
         self.nursery.start_soon(self.udp_socket.run, self.inbox)
 
     async def answer_probe(self, request):
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -59,6 +59,8 @@
     messages: list = attrs.field(factory=list)
     counters: dict = attrs.field(factory=dict)
     leaving: bool = False
+    # The newest configuration under which this process has placed flows elsewhere.
+    required_revision: int = 0
     is_tick_urgent: bool = False
     is_release_due: bool = False
     # The sources that report leases.
@@ -126,11 +128,23 @@
         """Return whether settings and upstreams have arrived, so that packets are routed."""
         return self.cookie_router.routes is not None and bool(self.upstreams.by_index)
 
-    def adopt_held(self, packets, now):
-        """Handle packets that were held elsewhere; each comes with the time of its arrival."""
+    def take_over(self, packets, revision, now):
+        """
+        Handle the packets that the early thread held; each comes with the time of its arrival.
+
+        New flows wait for the configuration `revision`, under which that thread placed
+        flows: a process must not act on an older one later.
+        """
         self.now = now
+        self.required_revision = revision
+        self.update_confirmation()
         self.cookie_router.adopt_held(packets, now)
 
+    def update_confirmation(self):
+        """Set whether new flows wait for settings."""
+        applied = self.dissemination.applied.revision
+        self.cookie_router.settings_unconfirmed = applied < self.required_revision
+
     def submit(self, upstream, cookie, packet):
         """Forward a packet through the schedule of the own link."""
         routes = self.cookie_router.routes or {}
@@ -262,7 +276,7 @@
         """Handle an update of settings and upstreams."""
         self.subscriptions.handle_news(sender, update, now)
         self.evacuations.adopt(update.evacuations, now)
-        self.cookie_router.settings_unconfirmed = False
+        self.update_confirmation()
         for registration in update.registrations:
             if registration.lifetime_ms > 0:
                 self.update_upstream(registration, sender, now)
--- a/lycheevalve/tests/test_early_routing.py
+++ b/lycheevalve/tests/test_early_routing.py
@@ -16,7 +16,13 @@
 from lycheevalve.platform import __main__ as program
 from lycheevalve.platform.early import EarlyCodec
 from lycheevalve.schema import lookups
-from lycheevalve.tests.fakes.entry import FRONT_DOOR, build_packet
+from lycheevalve.tests.fakes.control_cluster import ControlCluster
+from lycheevalve.tests.fakes.entry import (
+    FRONT_DOOR,
+    ROUTES,
+    build_packet,
+    build_registration,
+)
 from lycheevalve.tests.fakes.platform import ACK, SYN, Segment, read_segment, split_target
 
 KEY = "key of the site"
@@ -375,6 +381,47 @@
         site.close()
 
 
+class TestTakeOver:
+    """The instance takes over from the thread."""
+
+    @pytest.fixture
+    def cluster(self):
+        """Return a cluster with one entry instance, which has settings and an upstream."""
+        cluster = ControlCluster(controls=1, entries=1)
+        cluster.commit(3, routes=(0,))
+        service = next(iter(ROUTES.values())).backends[0][0]
+        registration = build_registration(1, service, lifetime_ms=60_000)
+        cluster.running[cluster.seeds[0]].handle_announcement(registration, "x", cluster.now)
+        cluster.run(2.5)
+        return cluster
+
+    def test_held_packets_are_forwarded_in_their_order(self, cluster):
+        entry = cluster.running[cluster.entries[0]]
+        (upstream,) = entry.upstreams.by_index.values()
+        packets = [build_packet(cookie=upstream.cookie, sequence=n) for n in range(3)]
+        held = [(packet, cluster.now - 0.1) for packet in packets]
+        sent = []
+        entry.cookie_router.forward = lambda *details: sent.append(details[-1])
+        entry.take_over(held, 3, cluster.now)
+        assert sent == packets
+
+    def test_packets_held_for_too_long_are_dropped(self, cluster):
+        entry = cluster.running[cluster.entries[0]]
+        entry.take_over([(build_packet(cookie=77), cluster.now - 0.7)], 3, cluster.now)
+        assert not entry.cookie_router.held
+
+    def test_new_flows_wait_for_the_configuration_that_the_thread_used(self, cluster):
+        """An older one would be in force again at a process that used a newer one."""
+        entry, sent = cluster.running[cluster.entries[0]], []
+        entry.cookie_router.forward = lambda *details: sent.append(details[-1])
+        entry.take_over([(build_packet(opens=True), cluster.now)], 4, cluster.now)
+        cluster.run(0.3)
+        assert sent == []
+        cluster.commit(4, routes=(0,))
+        cluster.run(0.7)
+        assert len(sent) == 1
+
+
 class TestStart:
     """The words from which the thread is started."""
 
