--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -37,6 +37,7 @@
             self.kill_process,
             self.pause_process,
             self.kill_control_replicas,
+            self.lose_power,
             self.lose_disk,
             self.crash_upstream,
         )
@@ -151,11 +152,25 @@
 
     async def kill_control_replicas(self):
         """Kill all control replicas at once and start them again."""
-        names = self.site.machine_names("control")
+        await self.kill_together(self.site.machine_names("control"))
+
+    async def lose_power(self):
+        """
+        Kill all processes, or all entry instances, at once and start them again.
+
+        Callers go on: their packets reach instances that are still starting.
+        """
+        names = self.site.machine_names("entry")
+        if self.random.random() < 0.5:
+            names = list(self.site.machines)
+        await self.kill_together(names)
+
+    async def kill_together(self, names):
+        """Kill processes at once and start them again, unless one of them is busy."""
         if any(name in self.busy for name in names):
             return
         self.busy.update(names)
-        self.log("kill all control replicas")
+        self.log(f"kill {', '.join(names)}")
         for name in names:
             self.site.send_signal(name, signal.SIGKILL)
         for name in names:
