Let imports wait for the packets that are forwarded during a start

Change: an import waits while packets were forwarded in the last 25 ms, for 2 s in all (flows/early_routing.py, ImportDelay).

--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -14,7 +14,7 @@
 from _socket import AF_INET, SO_RCVBUF, SO_SNDBUF, SOCK_DGRAM, SOL_SOCKET, inet_ntoa, socket
 from _thread import allocate_lock, start_new_thread
 
-from lycheevalve.flows.early_routing import EarlyRouter
+from lycheevalve.flows.early_routing import EarlyRouter, ImportDelay
 from lycheevalve.schema.lookups import (
     MAX_COOKIES,
     MAX_FRONT_DOORS,
@@ -132,6 +132,18 @@
             self.handle(read_clock())
 
 
+class ImportGate:
+    """A finder of modules that finds none: imports wait in it as an ImportDelay decides."""
+
+    def __init__(self, delay):
+        self.delay = delay
+
+    def find_spec(self, name, path=None, target=None):
+        """Wait for the packets that are being forwarded."""
+        while seconds := self.delay.next_wait():
+            time.sleep(seconds)
+
+
 class EarlyForwarder:
     """
     Forwards the packets of an entry instance until `stop` is called.
@@ -148,6 +160,7 @@
         self.data_centre = data_centre
         self.codec = codec
         self.router = EarlyRouter(self.forward, self.draw)
+        self.import_gate = ImportGate(ImportDelay(self.router))
         self.packet_socket = open_datagram_socket(packets)
         self.lookup_socket = open_datagram_socket(lookups)
         self.thread = EarlyThread((self.packet_socket, self.lookup_socket), self.handle)
@@ -162,7 +175,8 @@
         return int.from_bytes(posix.urandom(4), "big") / (1 << 32)
 
     def start(self):
-        """Start the thread."""
+        """Start the thread; imports wait for its packets from now on."""
+        sys.meta_path.insert(0, self.import_gate)
         self.thread.start()
 
     def stop(self):
@@ -171,6 +185,7 @@
 
         The packet socket stays open for the instance.
         """
+        sys.meta_path.remove(self.import_gate)
         self.thread.stop()
         self.lookup_socket.close()
         now = read_clock()
--- a/lycheevalve/flows/early_routing.py
+++ b/lycheevalve/flows/early_routing.py
@@ -27,6 +27,9 @@
 # something is missing: a whole site that starts must not overload its replicas.
 MIN_LOOKUP_INTERVAL_SECONDS = 0.05
 MAX_LOOKUP_INTERVAL_SECONDS = 0.4
+# Imports wait until no packet was forwarded for the first time, for up to the second in all.
+QUIET_SECONDS = 0.025
+MAX_IMPORT_DELAY_SECONDS = 2.0
 # How many opening packets are remembered, to send their copies to other upstreams.
 MAX_OPENINGS = 4096
 # An upstream of another data centre gets a flow only if it has this many flows per slot
@@ -155,6 +158,31 @@
         return tuple(cookies), tuple(front_doors)
 
 
+class ImportDelay:
+    """
+    Decides how long imports wait for the packets that are being forwarded.
+
+    Load: all callers send at once when power returns, and imports take the processor that
+    their packets need. Nothing depends on the imports while packets are forwarded without
+    them, so each import waits until none was forwarded for a moment, within a limit.
+    """
+
+    def __init__(self, router):
+        self.router = router
+        self.forwarded = 0
+        self.waited = 0.0
+
+    def next_wait(self):
+        """Return for how many seconds an import has to wait before the next check, or 0."""
+        forwarded = self.router.forwarded + self.router.opened
+        is_spent = self.waited + QUIET_SECONDS > MAX_IMPORT_DELAY_SECONDS
+        if forwarded == self.forwarded or is_spent:
+            return 0.0
+        self.forwarded = forwarded
+        self.waited += QUIET_SECONDS
+        return QUIET_SECONDS
+
+
 def wanted_by(packet):
     """Return what has to be known to forward a packet: its cookie or its front door."""
     return packet.front_door if packet.opens else packet.cookie
--- a/lycheevalve/tests/test_early_routing.py
+++ b/lycheevalve/tests/test_early_routing.py
@@ -181,6 +181,35 @@
         assert len(instance.router.held) == 1
 
 
+class TestImports:
+    """Return of power: imports take the processor that packets need."""
+
+    def test_imports_wait_while_packets_are_forwarded(self):
+        instance = StartingInstance()
+        delay = early_routing.ImportDelay(instance.router)
+        assert delay.next_wait() == 0.0
+        instance.answer(targets=[build_target(1)])
+        instance.handle(cookie=1)
+        assert delay.next_wait() == early_routing.QUIET_SECONDS
+        assert delay.next_wait() == 0.0
+
+    def test_held_packets_delay_no_import(self):
+        instance = StartingInstance()
+        instance.handle(cookie=1)
+        assert early_routing.ImportDelay(instance.router).next_wait() == 0.0
+
+    def test_the_delay_is_limited(self):
+        """Without a limit an instance under load would never be ready."""
+        instance = StartingInstance()
+        instance.answer(targets=[build_target(1)])
+        delay, waited = early_routing.ImportDelay(instance.router), 0.0
+        for sequence in range(500):
+            instance.handle(cookie=1, sequence=sequence)
+            waited += delay.next_wait()
+        limit = early_routing.MAX_IMPORT_DELAY_SECONDS
+        assert limit - 2 * early_routing.QUIET_SECONDS <= waited <= limit
+
+
 class StartMachine(RuleBasedStateMachine):
     """
     Callers, answers and time in any order.
