--- /dev/null
+++ b/bench/mutations/ablations.py
@@ -0,0 +1,88 @@
+"""Source edits that switch one decision under load off, for bench.ablate."""
+
+import attrs
+
+
+@attrs.frozen
+class Ablation:
+    """A decision that is switched off by one source edit; `old` occurs once in `file`."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+
+
+ABLATIONS = (
+    Ablation("early-thread", "platform/__main__.py", "    if not words:", "    if True:"),
+    Ablation(
+        "early-lookups-from-disk",
+        "platform/early.py",
+        "    build = build_responder if is_control else build_forwarder\n",
+        '    if is_control:\n        raise ValueError("off")\n    build = build_forwarder\n',
+    ),
+    Ablation("early-new-flows", "flows/lookups.py", "if not is_current:", "if True:"),
+    Ablation(
+        "import-delay",
+        "flows/early_routing.py",
+        "is_spent = self.waited + QUIET_SECONDS > MAX_IMPORT_DELAY_SECONDS",
+        "is_spent = True",
+    ),
+    Ablation(
+        "departure-by-packets",
+        "flows/departure.py",
+        "        if now - self.since >= self.stop_seconds - EXIT_MARGIN_SECONDS:\n",
+        "        return now - self.since >= UNPROBED_SECONDS\n        if True:\n",
+    ),
+    Ablation(
+        "slow-start", "flows/upstreams.py", "        if now >= ends_at:", "        if True:"
+    ),
+    Ablation(
+        "near-upstreams-first",
+        "flows/cookie_routing.py",
+        "REMOTE_PENALTY_FLOWS_PER_SLOT = 1.0",
+        "REMOTE_PENALTY_FLOWS_PER_SLOT = 0.0",
+    ),
+    Ablation(
+        "memory-of-failed-upstreams",
+        "flows/failure_evidence.py",
+        "if not failed and is_remembered(",
+        "if False and is_remembered(",
+    ),
+    Ablation(
+        "silent-data-centres",
+        "flows/cookie_routing.py",
+        "        if now - self.retransmitted_at > MAX_RETRANSMIT_INTERVAL_SECONDS:\n",
+        "        if True:\n",
+    ),
+    Ablation(
+        "leaving-the-rotation-when-cut-off",
+        "entry.py",
+        '"cut off with too few upstreams" if self.lacks_capacity_when_isolated(now) else ""',
+        '""',
+    ),
+    Ablation(
+        "held-opening-packets",
+        "flows/cookie_routing.py",
+        "MAX_OPENING_HOLD_SECONDS = 1.2",
+        "MAX_OPENING_HOLD_SECONDS = 0.0",
+    ),
+    Ablation(
+        "cache-of-upstreams",
+        "daemon/control.py",
+        "for registration in registrations:",
+        "for registration in ():",
+    ),
+    Ablation(
+        "resets-on-failed-upstreams",
+        "flows/cookie_routing.py",
+        "if self.is_failed(u, now)]",
+        "if False]",
+    ),
+    Ablation(
+        "failures-in-the-choice",
+        "flows/cookie_routing.py",
+        " * 2.0 ** decayed_failure_count(upstream, now)",
+        "",
+    ),
+)
--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -31,7 +31,7 @@
 
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 MAX_DATAGRAM_BYTES = 65_535
-# Packets handled before lookups and answers are: both wait for the processor together.
+# How many packets are handled before answers are.
 BATCH_DATAGRAMS = 64
 POLL_MILLISECONDS = 25
 READ_BYTES = 1 << 20
@@ -40,8 +40,9 @@
 SWITCH_INTERVAL_SECONDS = 0.0005
 # Upstreams announce themselves about once a second; this tolerates one lost announcement.
 RESTORED_LEASE_SECONDS = 2.0
-# Lookups whose answers may still arrive.
+# Lookups whose answers may still arrive, and until when after the lookup.
 MAX_PENDING_LOOKUPS = 64
+MAX_ANSWER_SECONDS = 0.5
 
 
 def read_clock():
@@ -164,7 +165,7 @@
         self.packet_socket = open_datagram_socket(packets)
         self.lookup_socket = open_datagram_socket(lookups)
         self.thread = EarlyThread((self.packet_socket, self.lookup_socket), self.handle)
-        self.nonce = 0
+        # When the last lookups were sent, by nonce.
         self.pending = {}
         # Counters for the log.
         self.malformed = self.unsent = 0
@@ -216,7 +217,8 @@
         except ValueError:
             self.malformed += 1
             return
-        if answer.nonce in self.pending:
+        # After a pause an answer that waited in the socket may be out of date.
+        if now - self.pending.get(answer.nonce, float("-inf")) <= MAX_ANSWER_SECONDS:
             self.router.handle_answer(answer, now)
 
     def send_lookups(self, now):
@@ -224,12 +226,12 @@
         cookies, front_doors = self.router.take_lookup(now)
         while cookies or front_doors:
             # A nonce is never used twice, so that no recorded answer is accepted.
-            (self.nonce,) = NONCE.unpack(posix.urandom(NONCE.size))
-            self.pending[self.nonce] = now
+            (nonce,) = NONCE.unpack(posix.urandom(NONCE.size))
+            self.pending[nonce] = now
             if len(self.pending) > MAX_PENDING_LOOKUPS:
                 del self.pending[next(iter(self.pending))]
             lookup = Lookup(
-                self.nonce,
+                nonce,
                 self.data_centre,
                 cookies[:MAX_COOKIES],
                 front_doors[:MAX_FRONT_DOORS],
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -60,8 +60,13 @@
     async def start(self, nursery):
         """Start the tasks of the UDP socket and the readiness server."""
         self.nursery = nursery
+        address = parse_address(self.settings.packets)
+        if self.early is not None and self.early.packet_socket.getsockname() != address:
+            self.early.stop()
+            self.early = None
+            record("early_unavailable", reason=f"its socket is not at {self.settings.packets}")
         early_socket = self.early and self.early.packet_socket
-        self.udp_socket = UdpSocket(parse_address(self.settings.packets), early_socket)
+        self.udp_socket = UdpSocket(address, early_socket)
         if self.early is None:
             nursery.start_soon(self.udp_socket.run, self.inbox)
         server = Server(self.settings.readiness, self.answer_probe)
--- a/lycheevalve/tests/test_early_routing.py
+++ b/lycheevalve/tests/test_early_routing.py
@@ -10,7 +10,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lycheevalve.daemon.early import EarlyForwarder
+from lycheevalve.coordination.upstream_cache import TABLE_FILE_NAME, write_lookup_table
+from lycheevalve.daemon import early
+from lycheevalve.daemon.early import EarlyForwarder, EarlyResponder, read_clock
 from lycheevalve.flows import early_routing
 from lycheevalve.flows.early_routing import EarlyRouter
 from lycheevalve.platform import __main__ as program
@@ -375,6 +377,18 @@
         assert site.forwarder.malformed == 3
         assert site.forwarder.router.forwarded == 1
 
+    def test_an_answer_that_waited_during_a_pause_is_not_used(self):
+        """It may name an upstream that has left meanwhile."""
+        site = Site()
+        site.send(flags=ACK, cookie=1, data=b"GET /")
+        lookup, _ = site.receive_lookup()
+        site.forwarder.stop()
+        answer = lookups.Answer(lookup.nonce, 1, [site.target])
+        late = lookups.encode_answer(site.key, answer)
+        site.forwarder.handle_answer(late, read_clock() + early.MAX_ANSWER_SECONDS + 0.1)
+        assert site.forwarder.router.forwarded == 0
+        site.close()
+
     def test_held_packets_are_handed_over(self):
         site = Site()
         site.send(flags=SYN)
@@ -410,6 +424,64 @@
         site.close()
 
 
+class TestResponder:
+    """A replica that starts answers lookups from the table on its disk."""
+
+    @pytest.fixture
+    def responder(self, tmp_path):
+        """Return a running EarlyResponder that has one upstream; stop it afterwards."""
+        key = lookups.derive_key(KEY.encode())
+        write_lookup_table(tmp_path, [build_target(1)], key)
+        responder = EarlyResponder(("127.0.0.1", 0), str(tmp_path / TABLE_FILE_NAME), KEY)
+        responder.start()
+        yield responder
+        responder.stop()
+        responder.socket.close()
+
+    def ask(self, responder, **values):
+        """Return the Answer to a lookup, or None if there is none within half a second."""
+        key = lookups.derive_key(KEY.encode())
+        with open_socket() as instance:
+            instance.settimeout(0.5)
+            lookup = lookups.Lookup(3, "dc1", **values)
+            address = responder.socket.getsockname()
+            instance.sendto(lookups.encode_lookup(key, lookup), address)
+            try:
+                return lookups.decode_answer(key, instance.recv(2000))
+            except TimeoutError:
+                return None
+
+    def test_stored_upstreams_are_named_for_open_flows(self, responder):
+        answer = self.ask(responder, cookies=[1, 2])
+        assert [target.cookie for target in answer.targets] == [1]
+
+    def test_nothing_is_named_for_new_flows(self, responder):
+        """The replica may have missed a drain or a configuration."""
+        answer = self.ask(responder, cookies=[1], front_doors=[FRONT_DOOR])
+        assert answer.candidates == {}
+
+    def test_nothing_is_named_once_restored_leases_have_ended(self, responder):
+        responder.thread.started_at -= early.RESTORED_LEASE_SECONDS
+        assert self.ask(responder, cookies=[1]) is None
+
+    def test_rubbish_is_counted(self, responder):
+        with open_socket() as stranger:
+            stranger.sendto(b"rubbish", responder.socket.getsockname())
+        assert self.ask(responder, cookies=[1]) is not None
+        assert responder.malformed == 1
+
+    @pytest.mark.parametrize("size", [0, 3, 20, 40])
+    def test_a_damaged_table_is_not_used(self, tmp_path, size):
+        """A torn write at a power loss."""
+        key = lookups.derive_key(KEY.encode())
+        path = tmp_path / TABLE_FILE_NAME
+        path.write_bytes(lookups.encode_table(key, [build_target(1), build_target(2)])[:size])
+        assert early.read_table(str(path), key) == {}
+
+    def test_a_missing_table_is_empty(self, tmp_path):
+        assert early.read_table(str(tmp_path / "missing"), b"key") == {}
+
+
 class TestTakeOver:
     """The instance takes over from the thread."""
 
