Name upstreams for new flows only with the tables of most other replicas

Here: a replica that was down while an upstream began to drain restores it from disk as it was, is current within 0.2 s of its start, and named it to a starting instance until a peer's registrations arrived. A test shows it (fails without the change).

--- a/bench/mutations/ablations.py
+++ b/bench/mutations/ablations.py
@@ -21,7 +21,7 @@
         "    build = build_responder if is_control else build_forwarder\n",
         '    if is_control:\n        raise ValueError("off")\n    build = build_forwarder\n',
     ),
-    Ablation("early-new-flows", "flows/lookups.py", "if not is_current:", "if True:"),
+    Ablation("early-new-flows", "flows/lookups.py", "if not is_informed:", "if True:"),
     Ablation(
         "import-delay",
         "flows/early_routing.py",
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -178,7 +178,10 @@
         applied = self.dissemination.applied
         if lookup.front_doors and applied.revision != self.lookups.revision:
             self.lookups.set_routes(self.read_routes(applied.document), applied.revision)
-        return self.lookups.answer(lookup, self.current, now)
+        # Registrations from disk may be those of upstreams that drain or have left: most other
+        # replicas must have sent theirs.
+        is_informed = self.current and self.subscriptions.reaches_most(now)
+        return self.lookups.answer(lookup, is_informed, now)
 
     # Subscribers.
 
--- a/lycheevalve/flows/lookups.py
+++ b/lycheevalve/flows/lookups.py
@@ -2,8 +2,9 @@
 Answers to the lookups of instances that have just started, see early_routing.py.
 
 A control replica answers for upstreams whose leases hold in its own table. It names
-upstreams for new flows only while it is current: a replica that was cut off or paused may
-hold an older configuration, or upstreams that have left.
+upstreams for new flows only while it is current and has the registrations of most other
+replicas: one that was cut off, paused or down may hold an older configuration, or upstreams
+that have left.
 """
 
 import socket
@@ -45,12 +46,12 @@
         upstreams = self.upstreams.by_address.values()
         return [build_target(u, "") for u in upstreams if u.cookie and is_valid(u, now)]
 
-    def answer(self, lookup, is_current, now):
+    def answer(self, lookup, is_informed, now):
         """Return the Answer to a Lookup."""
         found = [self.cookies.find(cookie) for cookie in lookup.cookies]
         local = lookup.data_centre
         targets = [build_target(u, local) for u in found if u is not None and is_valid(u, now)]
-        if not is_current:
+        if not is_informed:
             return Answer(lookup.nonce, 0, targets)
         candidates = {
             front_door: self.find_candidates(front_door, local, now)
--- a/lycheevalve/tests/fakes/control_cluster.py
+++ b/lycheevalve/tests/fakes/control_cluster.py
@@ -57,6 +57,7 @@
         control = ControlReplica(address, data_centre, self.incarnation, self.random, self.now)
         control.subscriptions.set_seeds(self.seeds, self.now)
         control.current = True
+        control.read_routes = read_routes
         self.set_process(address, control)
 
     def start_entry(self, address):
--- a/lycheevalve/tests/test_lookups.py
+++ b/lycheevalve/tests/test_lookups.py
@@ -10,7 +10,13 @@
 from lycheevalve.flows.lookups import LookupTable
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.schema import lookups
-from lycheevalve.tests.fakes.entry import FRONT_DOOR, OTHER_FRONT_DOOR, build_registration
+from lycheevalve.tests.fakes.control_cluster import ControlCluster
+from lycheevalve.tests.fakes.entry import (
+    FRONT_DOOR,
+    OTHER_FRONT_DOOR,
+    ROUTES,
+    build_registration,
+)
 
 KEY = lookups.derive_key(b"key of the site")
 OTHER_KEY = lookups.derive_key(b"key of another site")
@@ -131,10 +137,10 @@
     return cookie
 
 
-def ask(table, now=1.0, cookies=(), front_doors=(), is_current=True, data_centre="dc1"):
+def ask(table, now=1.0, cookies=(), front_doors=(), is_informed=True, data_centre="dc1"):
     """Return (names of the targets, names of the candidates by front door, revision)."""
     lookup = lookups.Lookup(1, data_centre, cookies, front_doors)
-    answer = table.answer(lookup, is_current, now)
+    answer = table.answer(lookup, is_informed, now)
     candidates = {
         door: [target.name for target in found] for door, found in answer.candidates.items()
     }
@@ -175,11 +181,11 @@
         table.upstreams.update(build_registration(1, sequence=2, leaving=True), 0.5)
         assert ask(table, now=2.0, cookies=[cookie])[0] == []
 
-    def test_a_replica_that_is_not_current_names_upstreams_of_open_flows(self):
+    def test_a_replica_that_is_cut_off_names_upstreams_of_open_flows(self):
         """A data centre that is cut off goes on serving."""
         table = build_table(build_registration(1))
         cookies = [find_cookie(table, 1)]
-        assert ask(table, cookies=cookies, is_current=False)[0] == ["i-00000001"]
+        assert ask(table, cookies=cookies, is_informed=False)[0] == ["i-00000001"]
 
 
 class TestNewFlows:
@@ -195,9 +201,9 @@
         assert len(candidates[FRONT_DOOR]) == 5
         assert revision == 5
 
-    def test_nothing_is_named_while_the_replica_is_not_current(self):
+    def test_nothing_is_named_while_the_replica_is_not_informed(self):
         table = build_table(build_registration(1))
-        _, candidates, revision = ask(table, front_doors=[FRONT_DOOR], is_current=False)
+        _, candidates, revision = ask(table, front_doors=[FRONT_DOOR], is_informed=False)
         assert candidates == {}
         assert revision == 0
 
@@ -229,3 +235,40 @@
         ]
         assert 20 < named.count(["i-00000001"]) < 90
         assert named.count(["i-00000002"]) == 500 - named.count(["i-00000001"])
+
+
+class TestRestartedReplica:
+    """A replica that was down while an upstream started to drain."""
+
+    def test_new_flows_wait_until_other_replicas_have_sent_their_tables(self):
+        """Its disk still has the upstream as it was; the others know of the drain."""
+        cluster = ControlCluster(controls=3, entries=0)
+        cluster.commit(3, routes=(0,))
+        service = next(iter(ROUTES.values())).backends[0][0]
+        front_door = next(iter(ROUTES))
+        stored = build_registration(1, service, lifetime_ms=60_000)
+        for address in cluster.seeds[1:]:
+            draining = build_registration(
+                1, service, lifetime_ms=60_000, sequence=2, draining=True
+            )
+            cluster.running[address].apply_registration(draining, cluster.now)
+        restarted = cluster.running[cluster.seeds[0]]
+        restarted.apply_registration(stored, cluster.now)
+        lookup = lookups.Lookup(1, "dc1", (), [front_door])
+        assert restarted.answer_lookup(lookup, cluster.now).candidates == {}
+        cluster.run(1.0)
+        assert restarted.subscriptions.reaches_most(cluster.now)
+        assert restarted.answer_lookup(lookup, cluster.now).candidates == {front_door: []}
+
+    def test_upstreams_are_named_once_they_have(self):
+        cluster = ControlCluster(controls=3, entries=0)
+        cluster.commit(3, routes=(0,))
+        service = next(iter(ROUTES.values())).backends[0][0]
+        front_door = next(iter(ROUTES))
+        registration = build_registration(1, service, lifetime_ms=60_000)
+        cluster.running[cluster.seeds[1]].apply_registration(registration, cluster.now)
+        cluster.run(1.0)
+        answer = cluster.running[cluster.seeds[0]].answer_lookup(
+            lookups.Lookup(1, "dc1", (), [front_door]), cluster.now
+        )
+        assert [target.name for target in answer.candidates[front_door]] == ["i-00000001"]
