Use one code for held packets, costs and sockets in both stages of a start

Found by reading the change: the early stage wrote again how packets are held and retried, the cost of an upstream, the opening and reading of a UDP socket, the name of the stored table and the lease of restored upstreams. Each has one place now (flows/held_packets.py, flows/costs.py, daemon/datagrams.py, schema/lookups.py), without imports that the early stage could not afford. Limits and decisions are unchanged; tests keep their assertions and take the limits from there.

Also: a damaged table on a replica's disk was not used without a word; the event early_lookups says why, and counts answers that could not be sent.

--- a/bench/mutations/ablations.py
+++ b/bench/mutations/ablations.py
@@ -39,7 +39,7 @@
     ),
     Ablation(
         "near-upstreams-first",
-        "flows/cookie_routing.py",
+        "flows/costs.py",
         "REMOTE_PENALTY_FLOWS_PER_SLOT = 1.0",
         "REMOTE_PENALTY_FLOWS_PER_SLOT = 0.0",
     ),
@@ -63,7 +63,7 @@
     ),
     Ablation(
         "held-opening-packets",
-        "flows/cookie_routing.py",
+        "flows/held_packets.py",
         "MAX_OPENING_HOLD_SECONDS = 1.2",
         "MAX_OPENING_HOLD_SECONDS = 0.0",
     ),
@@ -82,7 +82,7 @@
     Ablation(
         "failures-in-the-choice",
         "flows/cookie_routing.py",
-        " * 2.0 ** decayed_failure_count(upstream, now)",
-        "",
+        "failure_factor = 2.0 ** decayed_failure_count(upstream, now)",
+        "failure_factor = 1.0",
     ),
 )
--- a/lycheevalve/coordination/upstream_cache.py
+++ b/lycheevalve/coordination/upstream_cache.py
@@ -17,13 +17,10 @@
 from lycheevalve.exceptions import FrameError, StorageError
 from lycheevalve.schema.frames import decode_struct, encode_struct
 from lycheevalve.schema.generated.messages import Registrations
-from lycheevalve.schema.lookups import encode_table
+from lycheevalve.schema.lookups import RESTORED_LEASE_SECONDS, TABLE_FILE_NAME, encode_table
 
 FILE_NAME = "upstreams"
-# The same upstreams for lookups, read before this module can be imported.
-TABLE_FILE_NAME = "lookups"
-# Upstreams announce themselves about once a second; this tolerates one lost announcement.
-RESTORED_LEASE_MS = 2000
+RESTORED_LEASE_MS = round(1000 * RESTORED_LEASE_SECONDS)
 # Changes of the table are written in batches, at most this often.
 WRITE_INTERVAL_SECONDS = 0.5
 
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -152,7 +152,8 @@
             answered=early.answered,
             malformed=early.malformed,
             upstreams=len(early.targets),
-            error=early.thread.error,
+            unsent=early.unsent,
+            error=early.table_error or early.thread.error,
         )
         self.lookup_socket = UdpSocket(parse_address(self.address), early.socket)
 
--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -11,14 +11,16 @@
 import select
 import sys
 import time
-from _socket import AF_INET, SO_RCVBUF, SO_SNDBUF, SOCK_DGRAM, SOL_SOCKET, inet_ntoa, socket
+from _socket import inet_ntoa
 from _thread import allocate_lock, start_new_thread
 
+from lycheevalve.daemon.datagrams import open_datagram_socket, read_datagrams
 from lycheevalve.flows.early_routing import EarlyRouter, ImportDelay
 from lycheevalve.schema.lookups import (
     MAX_COOKIES,
     MAX_FRONT_DOORS,
     NONCE,
+    RESTORED_LEASE_SECONDS,
     Answer,
     Lookup,
     decode_answer,
@@ -29,17 +31,11 @@
     encode_lookup,
 )
 
-SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
-MAX_DATAGRAM_BYTES = 65_535
-# How many packets are handled before answers are.
-BATCH_DATAGRAMS = 64
 POLL_MILLISECONDS = 25
 READ_BYTES = 1 << 20
 # Each datagram received or sent hands the interpreter's lock to the thread that imports
 # modules, which returns it after this time.
 SWITCH_INTERVAL_SECONDS = 0.0005
-# Upstreams announce themselves about once a second; this tolerates one lost announcement.
-RESTORED_LEASE_SECONDS = 2.0
 # Lookups whose answers may still arrive, and until when after the lookup.
 MAX_PENDING_LOOKUPS = 64
 MAX_ANSWER_SECONDS = 0.5
@@ -51,35 +47,15 @@
 
 
 def parse_host_and_port(text):
-    """Return the (ip, port) of `ip:port`; raise ValueError for any other text."""
+    """
+    Return the (ip, port) of `ip:port`; raise ValueError for any other text.
+
+    utils/addresses.py imports more than the early stage has time for.
+    """
     host, _, port = text.rpartition(":")
     return host, int(port)
 
 
-def open_datagram_socket(address):
-    """Return a non-blocking UDP socket bound to an address."""
-    opened = socket(AF_INET, SOCK_DGRAM)
-    opened.setblocking(False)
-    for option in (SO_RCVBUF, SO_SNDBUF):
-        opened.setsockopt(SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-    opened.bind(address)
-    return opened
-
-
-def read_datagrams(source):
-    """Return up to a batch of the (datagram, sender) that wait in a socket."""
-    batch = []
-    for _ in range(BATCH_DATAGRAMS):
-        try:
-            batch.append(source.recvfrom(MAX_DATAGRAM_BYTES))
-        except BlockingIOError:
-            break
-        except ConnectionError:
-            # An ICMP error for an earlier datagram: its receiver's port is closed.
-            continue
-    return batch
-
-
 class EarlyThread:
     """
     A thread that calls `handle(now)` when one of its sockets is readable, and regularly.
@@ -194,13 +170,19 @@
 
     def handle(self, now):
         """Handle the answers and packets that have arrived, and what is due."""
-        for data, _ in read_datagrams(self.lookup_socket):
+        for data in self.read(self.lookup_socket):
             self.handle_answer(data, now)
-        for data, _ in read_datagrams(self.packet_socket):
+        for data in self.read(self.packet_socket):
             self.handle_datagram(data, now)
         self.router.retry_held(now)
         self.send_lookups(now)
 
+    def read(self, source):
+        """Return the datagrams that wait in a socket; count those that were not received."""
+        batch, errors = read_datagrams(source)
+        self.unsent += errors
+        return [data for data, _ in batch]
+
     def handle_datagram(self, data, now):
         """Handle a caller's packet."""
         try:
@@ -265,10 +247,11 @@
 
     def __init__(self, address, table_path, key):
         self.key = derive_key(key.encode())
-        self.targets = read_table(table_path, self.key)
+        # Why the table on the disk is not used, if it is damaged.
+        self.targets, self.table_error = read_table(table_path, self.key)
         self.socket = open_datagram_socket(address)
         self.thread = EarlyThread((self.socket,), self.handle)
-        self.answered = self.malformed = 0
+        self.answered = self.malformed = self.unsent = 0
 
     def start(self):
         """Start the thread."""
@@ -280,7 +263,9 @@
 
     def handle(self, now):
         """Answer the lookups that have arrived."""
-        for data, source in read_datagrams(self.socket):
+        batch, errors = read_datagrams(self.socket)
+        self.unsent += errors
+        for data, source in batch:
             try:
                 lookup = decode_lookup(self.key, data)
             except ValueError:
@@ -295,15 +280,15 @@
                 self.answered += 1
             except OSError:
                 # Lost as in transit; the instance asks again.
-                continue
+                self.unsent += 1
 
 
 def read_table(path, key):
-    """Return the Targets in a file by cookie; none if it is missing or damaged."""
+    """Return (the Targets in a file by cookie, why it is not used); a missing one is empty."""
     try:
         descriptor = posix.open(path, posix.O_RDONLY)
     except FileNotFoundError:
-        return {}
+        return {}, ""
     try:
         chunks = []
         while chunk := posix.read(descriptor, READ_BYTES):
@@ -311,6 +296,7 @@
     finally:
         posix.close(descriptor)
     try:
-        return {target.cookie: target for target in decode_table(key, b"".join(chunks))}
-    except ValueError:
-        return {}
+        targets = decode_table(key, b"".join(chunks))
+    except ValueError as error:
+        return {}, f"{path}: {error}"
+    return {target.cookie: target for target in targets}, ""
--- a/lycheevalve/daemon/udp_socket.py
+++ b/lycheevalve/daemon/udp_socket.py
@@ -1,44 +1,26 @@
 """The UDP socket of a process, read by one task in bounded batches."""
 
-import socket
-
 import trio
 
+from lycheevalve.daemon.datagrams import open_datagram_socket, read_datagrams
 from lycheevalve.daemon.events import Batch
 
-MAX_DATAGRAM_BYTES = 65_535
-BATCH_DATAGRAMS = 64
-# Holds bursts that arrive between two reads.
-SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
-
 
 class UdpSocket:
     """
     One non-blocking UDP socket; `dropped` counts datagrams that could not be sent.
 
-    `early_socket` is a socket that is already bound; without it one is opened.
+    `early_socket` is one of datagrams.py that is open already; without it one is opened.
     """
 
     def __init__(self, address, early_socket=None):
-        self.socket = early_socket or socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.setblocking(False)
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self.socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-        if early_socket is None:
-            self.socket.bind(address)
+        self.socket = early_socket or open_datagram_socket(address)
         self.dropped = 0
 
     def read_batch(self):
         """Return up to one batch of (datagram, source) without waiting."""
-        batch = []
-        while len(batch) < BATCH_DATAGRAMS:
-            try:
-                batch.append(self.socket.recvfrom(MAX_DATAGRAM_BYTES))
-            except BlockingIOError:
-                break
-            except ConnectionError:
-                # An ICMP error for an earlier datagram: its receiver's port is closed.
-                self.dropped += 1
+        batch, errors = read_datagrams(self.socket)
+        self.dropped += errors
         return batch
 
     async def run(self, inbox):
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -13,8 +13,10 @@
 import attrs
 
 from lycheevalve.flows.cookies import CookieTable
+from lycheevalve.flows.costs import estimate_cost
 from lycheevalve.flows.failure_evidence import FailureDetector, record_silence
 from lycheevalve.flows.front_doors import UNKNOWN_ROUTE, FrontDoorRoute
+from lycheevalve.flows.held_packets import hold_packet, retry_packets
 from lycheevalve.flows.load import decayed_failure_count
 from lycheevalve.flows.passive_health import (
     ANSWERED,
@@ -32,17 +34,8 @@
     update_from_packet,
 )
 
-# A packet that can't be routed yet is held for at most this long: its caller soon
-# retransmits it.
-MAX_HOLD_SECONDS = 0.6
-# An opening packet is held longer, since its caller gives up only after 1.4 s.
-MAX_OPENING_HOLD_SECONDS = 1.2
-MAX_HELD_PACKETS = 1024
 # Retransmissions of an opening packet arrive within this time of each other.
 OPENING_EXPIRY_SECONDS = 2.0
-# An upstream of another data centre gets a flow only if it has this many flows per
-# slot fewer than the local ones: a network partition then breaks fewer flows.
-REMOTE_PENALTY_FLOWS_PER_SLOT = 1.0
 # An instance without a packet for this long may be out of the fabric's rotation, with
 # its flows moved to another instance.
 OUT_OF_ROTATION_SECONDS = 0.3
@@ -82,7 +75,8 @@
     flows: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     # When a flow was last placed, and the upstreams tried, by its key.
     openings: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
-    held: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    # See held_packets.py.
+    held: dict = attrs.field(factory=dict)
     failures: FailureDetector = attrs.field(factory=FailureDetector)
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
@@ -370,20 +364,17 @@
     def cost(self, upstream, now):
         """Return an upstream's load as seen from here, with a random tie-break; lowest wins."""
         slots = max(1, upstream.registration.slots) * upstream.announced_share(now)
-        load = (upstream.flows + 1) / slots * 2.0 ** decayed_failure_count(upstream, now)
         is_local = upstream.registration.data_centre == self.data_centre
-        return load + (0.0 if is_local else REMOTE_PENALTY_FLOWS_PER_SLOT), self.random.random()
+        failure_factor = 2.0 ** decayed_failure_count(upstream, now)
+        cost = estimate_cost(upstream.flows, slots, is_local, failure_factor)
+        return cost, self.random.random()
 
     # Held packets.
 
     def hold(self, packet, now):
         """Hold a packet in place of its earlier copies; drop the oldest if there is no room."""
         self.observe("held", packet=packet, reason=self.hold_reason(packet))
-        key = packet.identify()
-        since, _ = self.held.pop(key, (now, None))
-        self.held[key] = (since, packet)
-        if len(self.held) > MAX_HELD_PACKETS:
-            self.drop_held(*self.held.popitem(last=False)[1], "no_room", now)
+        hold_packet(self.held, packet, self.drop_held, now)
 
     def adopt_held(self, packets, now):
         """Handle packets that were held elsewhere since the time that comes with each."""
@@ -406,13 +397,7 @@
 
     def retry_held(self, now):
         """Retry held packets; drop those held for too long."""
-        retried, self.held = self.held, collections.OrderedDict()
-        for key, (since, packet) in retried.items():
-            limit = MAX_OPENING_HOLD_SECONDS if packet.opens else MAX_HOLD_SECONDS
-            if now - since > limit:
-                self.drop_held(since, packet, "waited", now)
-            elif not self.try_handle_packet(packet, now):
-                self.held[key] = (since, packet)
+        retry_packets(self.held, self.try_handle_packet, self.drop_held, now)
 
     def has_pending_work(self, now):
         """Return whether packets are held or callers retransmit, so that ticks are urgent."""
--- a/lycheevalve/flows/early_routing.py
+++ b/lycheevalve/flows/early_routing.py
@@ -14,11 +14,9 @@
 Nothing here does I/O or reads a clock; times are seconds of a clock that counts pauses.
 """
 
-# A packet of an open flow is held for at most this long: its caller soon retransmits it.
-MAX_HOLD_SECONDS = 0.6
-# An opening packet is held longer, since its caller gives up only after 1.4 s.
-MAX_OPENING_HOLD_SECONDS = 1.2
-MAX_HELD_PACKETS = 1024
+from lycheevalve.flows.costs import estimate_cost
+from lycheevalve.flows.held_packets import hold_packet, retry_packets
+
 # How long an answer of a replica is used. Upstreams that leave must get no new flows after
 # seconds, and are still served by open flows.
 TARGET_SECONDS = 1.0
@@ -32,9 +30,6 @@
 MAX_IMPORT_DELAY_SECONDS = 2.0
 # How many opening packets are remembered, to send their copies to other upstreams.
 MAX_OPENINGS = 4096
-# An upstream of another data centre gets a flow only if it has this many flows per slot
-# fewer than the local ones.
-REMOTE_PENALTY_FLOWS_PER_SLOT = 1.0
 
 
 class EarlyRouter:
@@ -52,7 +47,7 @@
         self.targets = {}
         # (Targets, time until which they are used) by front door.
         self.candidates = {}
-        # (time of the first copy, packet) by what the copies have in common.
+        # See held_packets.py.
         self.held = {}
         # The cookies of the upstreams that got a copy of an opening packet, by flow.
         self.openings = {}
@@ -71,12 +66,7 @@
         """Forward a packet, or hold it in place of its earlier copies."""
         if self.try_forward(packet, now):
             return
-        key = packet.identify()
-        since, _ = self.held.pop(key, (now, None))
-        self.held[key] = (since, packet)
-        if len(self.held) > MAX_HELD_PACKETS:
-            del self.held[next(iter(self.held))]
-            self.dropped += 1
+        hold_packet(self.held, packet, self.count_dropped, now)
         if wanted_by(packet) not in self.asked:
             self.interval, self.lookup_due = MIN_LOOKUP_INTERVAL_SECONDS, now
 
@@ -98,7 +88,7 @@
             return False
         tried = self.openings.pop(packet.flow_key, ())
         untried = [target for target in candidates if target.cookie not in tried]
-        target = min(untried or candidates, key=self.estimate_cost)
+        target = min(untried or candidates, key=self.cost)
         self.openings[packet.flow_key] = (*tried, target.cookie)
         if len(self.openings) > MAX_OPENINGS:
             del self.openings[next(iter(self.openings))]
@@ -107,10 +97,10 @@
         self.forward(target, packet)
         return True
 
-    def estimate_cost(self, target):
+    def cost(self, target):
         """Return an upstream's load as seen from here, with a random tie-break."""
-        load = (self.placed.get(target.cookie, 0) + 1) / max(1, target.slots)
-        return load + (0.0 if target.is_local else REMOTE_PENALTY_FLOWS_PER_SLOT), self.random()
+        placed = self.placed.get(target.cookie, 0)
+        return estimate_cost(placed, max(1, target.slots), target.is_local), self.random()
 
     def handle_answer(self, answer, now):
         """Use a replica's answer, and forward the held packets that it resolves."""
@@ -129,13 +119,11 @@
 
     def retry_held(self, now):
         """Retry the held packets in the order of their arrival; drop those held too long."""
-        retried, self.held = self.held, {}
-        for key, (since, packet) in retried.items():
-            limit = MAX_OPENING_HOLD_SECONDS if packet.opens else MAX_HOLD_SECONDS
-            if now - since > limit:
-                self.dropped += 1
-            elif not self.try_forward(packet, now):
-                self.held[key] = (since, packet)
+        retry_packets(self.held, self.try_forward, self.count_dropped, now)
+
+    def count_dropped(self, *_):
+        """Count a held packet that was dropped."""
+        self.dropped += 1
 
     def take_lookup(self, now):
         """
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -158,6 +158,7 @@
             "duration_ms": int,
             "answered": int,
             "malformed": int,
+            "unsent": int,
             "upstreams": int,
             "error": str,
         },
--- a/lycheevalve/platform/early.py
+++ b/lycheevalve/platform/early.py
@@ -7,11 +7,10 @@
 
 from lycheevalve.daemon.early import EarlyForwarder, EarlyResponder, parse_host_and_port
 from lycheevalve.platform import headers
+from lycheevalve.schema.lookups import TABLE_FILE_NAME
 
 COMMON_KEYS = ("ip", "link_port", "key")
 ENTRY_KEYS = ("packets", "seeds", "data_centre")
-# The name of the file is that of coordination/upstream_cache.py.
-TABLE_FILE_NAME = "lookups"
 
 
 class EarlyCodec:
--- a/lycheevalve/schema/lookups.py
+++ b/lycheevalve/schema/lookups.py
@@ -41,6 +41,10 @@
 MAX_FRONT_DOORS = 2
 MAX_TARGETS = 8
 MAX_BYTE = 255
+# The name of the stored table in a replica's data folder.
+TABLE_FILE_NAME = "lookups"
+# Upstreams announce themselves about once a second; this tolerates one lost announcement.
+RESTORED_LEASE_SECONDS = 2.0
 
 
 class Target:
--- a/lycheevalve/tests/test_cookie_routing.py
+++ b/lycheevalve/tests/test_cookie_routing.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from lycheevalve.flows import cookie_routing
+from lycheevalve.flows import held_packets
 from lycheevalve.flows.cookies import build_cookie
 from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.tests.fakes.entry import (
@@ -145,7 +145,7 @@
     def test_held_packet_is_dropped_after_the_limit_and_not_forwarded(self):
         entry = build_entry(2)
         entry.handle(build_packet(cookie=12345))
-        entry.cookie_router.tick(cookie_routing.MAX_HOLD_SECONDS + 0.1)
+        entry.cookie_router.tick(held_packets.MAX_HOLD_SECONDS + 0.1)
         assert not entry.sent and not entry.resets and not entry.cookie_router.held
         assert entry.counters["dropped"] == 1
 
@@ -180,9 +180,9 @@
 
     def test_number_of_held_packets_is_bounded(self):
         entry = build_entry(0)
-        for number in range(cookie_routing.MAX_HELD_PACKETS + 10):
+        for number in range(held_packets.MAX_HELD_PACKETS + 10):
             entry.handle(build_packet(b"%d" % number, cookie=5))
-        assert len(entry.cookie_router.held) == cookie_routing.MAX_HELD_PACKETS
+        assert len(entry.cookie_router.held) == held_packets.MAX_HELD_PACKETS
         assert entry.counters["dropped"] == 10
 
     def test_resumed_instance_places_no_flow_until_settings_are_confirmed(self):
--- a/lycheevalve/tests/test_early_routing.py
+++ b/lycheevalve/tests/test_early_routing.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lycheevalve.flows import early_routing
+from lycheevalve.flows import early_routing, held_packets
 from lycheevalve.flows.early_routing import EarlyRouter
 from lycheevalve.schema import lookups
 from lycheevalve.tests.fakes.control_cluster import ControlCluster
@@ -87,9 +87,9 @@
 
     def test_held_packets_are_bounded(self):
         instance = StartingInstance()
-        for sequence in range(early_routing.MAX_HELD_PACKETS + 10):
+        for sequence in range(held_packets.MAX_HELD_PACKETS + 10):
             instance.handle(cookie=1, sequence=sequence)
-        assert len(instance.router.held) == early_routing.MAX_HELD_PACKETS
+        assert len(instance.router.held) == held_packets.MAX_HELD_PACKETS
         assert instance.router.dropped == 10
 
     def test_lookups_back_off_while_no_replica_answers(self):
--- a/lycheevalve/tests/test_early_thread.py
+++ b/lycheevalve/tests/test_early_thread.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lycheevalve.coordination.upstream_cache import TABLE_FILE_NAME, write_lookup_table
+from lycheevalve.coordination.upstream_cache import write_lookup_table
 from lycheevalve.daemon import early
 from lycheevalve.daemon.early import EarlyForwarder, EarlyResponder, read_clock
 from lycheevalve.platform import __main__ as program
@@ -165,7 +165,9 @@
         """Return a running EarlyResponder that has one upstream; stop it afterwards."""
         key = lookups.derive_key(KEY.encode())
         write_lookup_table(tmp_path, [build_target(1)], key)
-        responder = EarlyResponder(("127.0.0.1", 0), str(tmp_path / TABLE_FILE_NAME), KEY)
+        responder = EarlyResponder(
+            ("127.0.0.1", 0), str(tmp_path / lookups.TABLE_FILE_NAME), KEY
+        )
         responder.start()
         yield responder
         responder.stop()
@@ -194,7 +196,7 @@
         assert answer.candidates == {}
 
     def test_nothing_is_named_once_restored_leases_have_ended(self, responder):
-        responder.thread.started_at -= early.RESTORED_LEASE_SECONDS
+        responder.thread.started_at -= lookups.RESTORED_LEASE_SECONDS
         assert self.ask(responder, cookies=[1]) is None
 
     def test_rubbish_is_counted(self, responder):
@@ -207,12 +209,14 @@
     def test_a_damaged_table_is_not_used(self, tmp_path, size):
         """A torn write at a power loss."""
         key = lookups.derive_key(KEY.encode())
-        path = tmp_path / TABLE_FILE_NAME
+        path = tmp_path / lookups.TABLE_FILE_NAME
         path.write_bytes(lookups.encode_table(key, [build_target(1), build_target(2)])[:size])
-        assert early.read_table(str(path), key) == {}
+        targets, error = early.read_table(str(path), key)
+        assert targets == {}
+        assert str(path) in error
 
     def test_a_missing_table_is_empty(self, tmp_path):
-        assert early.read_table(str(tmp_path / "missing"), b"key") == {}
+        assert early.read_table(str(tmp_path / "missing"), b"key") == ({}, "")
 
 
 class TestStart:
--- a/lycheevalve/tests/test_large_fleet.py
+++ b/lycheevalve/tests/test_large_fleet.py
@@ -15,7 +15,7 @@
 )
 from lycheevalve.coordination.upstream_cache import RESTORED_LEASE_MS
 from lycheevalve.entry import URGENT_TICK_INTERVAL_SECONDS
-from lycheevalve.flows.cookie_routing import MAX_HOLD_SECONDS
+from lycheevalve.flows.held_packets import MAX_HOLD_SECONDS
 from lycheevalve.schema.generated.messages import News
 from lycheevalve.tests.fakes.entry import LIFETIME_MS, build_packet, build_registration
 from lycheevalve.tests.fakes.fleet import HEARTBEAT_SECONDS, build_fleet
--- a/lycheevalve/tests/test_lookups.py
+++ b/lycheevalve/tests/test_lookups.py
@@ -237,15 +237,20 @@
         assert named.count(["i-00000002"]) == 500 - named.count(["i-00000001"])
 
 
+def build_cluster():
+    """Return a cluster of three control replicas, a front door and its service."""
+    cluster = ControlCluster(controls=3, entries=0)
+    cluster.commit(3, routes=(0,))
+    front_door, route = next(iter(ROUTES.items()))
+    return cluster, front_door, route.backends[0][0]
+
+
 class TestRestartedReplica:
     """A replica that was down while an upstream started to drain."""
 
     def test_new_flows_wait_until_other_replicas_have_sent_their_tables(self):
         """Its disk still has the upstream as it was; the others know of the drain."""
-        cluster = ControlCluster(controls=3, entries=0)
-        cluster.commit(3, routes=(0,))
-        service = next(iter(ROUTES.values())).backends[0][0]
-        front_door = next(iter(ROUTES))
+        cluster, front_door, service = build_cluster()
         stored = build_registration(1, service, lifetime_ms=60_000)
         for address in cluster.seeds[1:]:
             draining = build_registration(
@@ -261,10 +266,7 @@
         assert restarted.answer_lookup(lookup, cluster.now).candidates == {front_door: []}
 
     def test_upstreams_are_named_once_they_have(self):
-        cluster = ControlCluster(controls=3, entries=0)
-        cluster.commit(3, routes=(0,))
-        service = next(iter(ROUTES.values())).backends[0][0]
-        front_door = next(iter(ROUTES))
+        cluster, front_door, service = build_cluster()
         registration = build_registration(1, service, lifetime_ms=60_000)
         cluster.running[cluster.seeds[1]].apply_registration(registration, cluster.now)
         cluster.run(1.0)
