--- a/bench/mutations/ablations.py
+++ b/bench/mutations/ablations.py
@@ -31,7 +31,7 @@
     Ablation(
         "departure-by-packets",
         "flows/departure.py",
-        "        if now - self.since >= self.stop_seconds - EXIT_MARGIN_SECONDS:\n",
+        "        if now - self.since >= self.stop_seconds - margin:\n",
         "        return now - self.since >= UNPROBED_SECONDS\n        if True:\n",
     ),
     Ablation(
--- a/lycheevalve/flows/departure.py
+++ b/lycheevalve/flows/departure.py
@@ -17,8 +17,9 @@
 QUIET_SECONDS = 0.4
 # Without probes the fabric is assumed to have noticed after this time.
 UNPROBED_SECONDS = 2.5
-# An instance must exit this long before the platform kills it.
+# An instance must exit this long before the platform kills it, at most this part of its time.
 EXIT_MARGIN_SECONDS = 1.0
+MAX_EXIT_MARGIN_SHARE = 0.25
 
 
 @attrs.define
@@ -39,7 +40,8 @@
 
     def is_complete(self, last_packet_at, now):
         """Return whether the process may exit; `last_packet_at` is that of the last packet."""
-        if now - self.since >= self.stop_seconds - EXIT_MARGIN_SECONDS:
+        margin = min(EXIT_MARGIN_SECONDS, MAX_EXIT_MARGIN_SHARE * self.stop_seconds)
+        if now - self.since >= self.stop_seconds - margin:
             return True
         ignored_since = min(self.ignored_since, self.since + UNPROBED_SECONDS)
         return now - max(ignored_since, last_packet_at) >= QUIET_SECONDS
--- a/lycheevalve/tests/test_departure.py
+++ b/lycheevalve/tests/test_departure.py
@@ -33,5 +33,10 @@
         packets = [n / 10 for n in range(100)]
         assert 4.9 <= depart([0.2, 0.7], packets) <= 5.1
 
+    def test_an_instance_with_little_time_uses_most_of_it(self):
+        """With `stop_seconds` of 1 it exited at once, while packets arrived."""
+        packets = [n / 10 for n in range(100)]
+        assert 0.7 <= depart([0.2, 0.7], packets, stop_seconds=1.0) <= 0.9
+
     def test_an_idle_instance_that_nobody_probes_exits(self):
         assert 2.8 <= depart([], []) <= 3.0
