Find cut data centres by probes, and keep long flows near where there is room

Ruled out: leaving the rotation sooner (near upstreams have room); leases (they hold until a source reports their end).

Change: flows/reachability.py probes the control replicas when a caller repeats a request to another data centre; from three witnesses the data centre counts as cut off: idle flows and lost idempotent requests there are reset, new flows avoid it. flows/locality.py keeps flows near while the data centre's own requests occupy at most half of the near slots, from own answers and the number of instances, which replicas now report.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -222,7 +222,10 @@
 
     def answer_poll(self, entry, now):
         """Answer a pending poll with the updates since the version that it carries."""
-        news = self.feed.build_news(entry.poll, self.current, self.find_controls(now), now)
+        others_near = sum(self.subscriptions.near_counts(now))
+        news = self.feed.build_news(
+            entry.poll, self.current, self.find_controls(now), now, others_near
+        )
         self.answers.append((entry.reply, news))
 
     def find_controls(self, now):
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -130,6 +130,13 @@
         """Return the subscribers that polled recently."""
         return [s for s in self.subscribers.values() if is_live(s, now)]
 
+    def count_near_instances(self, now):
+        """Return how many entry instances of this data centre polled recently."""
+        return sum(
+            s.data_centre == self.data_centre and not s.is_control
+            for s in self.live_subscribers(now)
+        )
+
     def live_controls(self, now):
         """Return the addresses of the control replicas that polled recently."""
         return [a for a in self.control_addresses if is_live(self.subscribers[a], now)]
@@ -165,11 +172,12 @@
         self.settled = self.settled or now - self.started_at >= SETTLE_SECONDS
         return self.settled
 
-    def build_news(self, poll, current, controls, now):
+    def build_news(self, poll, current, controls, now, others_near=0):
         """
         Return the News that answers a poll; polls from the same version may share it.
 
-        `controls` has the data centre of each control replica by its address.
+        `controls` has the data centre of each control replica by its address, `others_near`
+        is how many entry instances poll the other replicas of this data centre.
         """
         if now - self.answers_since > ANSWER_REUSE_SECONDS:
             self.answers, self.answers_since = {}, now
@@ -192,6 +200,8 @@
                 data_centre=self.data_centre,
                 changes_only=poll.changes_only,
                 evacuations=self.evacuations.evacuations,
+                near_instances=self.count_near_instances(now)
+                + (others_near if poll.changes_only else 0),
             )
         return self.answers[key]
 
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -44,6 +44,8 @@
     version: int = 0
     reported_revision: int = 0
     data_centre: str = ""
+    # See News.near_instances.
+    near_instances: int = 0
     answered_at: float = float("-inf")
     # When it was last listed by a replica or answered.
     last_listed_at: float = float("-inf")
@@ -212,6 +214,7 @@
         source.current, source.settled = news.current, news.settled
         source.current_at = now if news.current else source.current_at
         source.data_centre = news.data_centre
+        source.near_instances = news.near_instances or 0
         source.changes_only = bool(news.changes_only)
         if source.changes_only:
             self.update_source_leases(source, news.registrations)
@@ -244,6 +247,19 @@
             a for a, s in self.sources.items() if now - s.answered_at < CONTACT_TIMEOUT_SECONDS
         ]
 
+    def near_counts(self, now):
+        """Return the numbers of entry instances that replicas of this data centre report."""
+        return [
+            source.near_instances
+            for source in self.sources.values()
+            if source.data_centre == self.data_centre
+            and now - source.answered_at < CONTACT_TIMEOUT_SECONDS
+        ]
+
+    def count_instances(self, now):
+        """Return how many entry instances this data centre has, 0 if it is not known."""
+        return max(self.near_counts(now), default=0)
+
     def reaches_most(self, now):
         """Return whether this process and the sources in contact are most of all known."""
         return 2 * (len(self.in_contact(now)) + 1) > len(self.sources) + 1
--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -272,7 +272,8 @@
                 self.malformed += 1
                 continue
             found = [self.targets[c] for c in lookup.cookies if c in self.targets]
-            if not found or now - self.thread.started_at > RESTORED_LEASE_SECONDS:
+            is_probe = not (lookup.cookies or lookup.front_doors)
+            if not (found or is_probe) or now - self.thread.started_at > RESTORED_LEASE_SECONDS:
                 continue
             try:
                 answer = encode_answer(self.key, Answer(lookup.nonce, 0, found))
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -7,6 +7,7 @@
 from lycheevalve.daemon.events import Batch
 from lycheevalve.daemon.exposition import Metric, count_upstreams, counter, gauge
 from lycheevalve.daemon.http import Response, Server
+from lycheevalve.daemon.probes import ProbeAnswered, ProbeSocket
 from lycheevalve.daemon.role_process import RoleProcess
 from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.entry import EntryInstance
@@ -38,6 +39,8 @@
         self.early = early
         self.nursery = None
         self.udp_socket = None
+        # Opened once the early thread has closed its socket at the same address.
+        self.probe_socket = None
         # The reason in the last answer to a readiness probe: empty when ready.
         self.unready_reason = None
         self.departure = None
@@ -52,10 +55,14 @@
             forward=self.forward,
             reset=self.reset,
             observe=self.observe,
+            probe=self.probe,
             heartbeat_seconds=settings.heartbeat_ms / 1000,
             link_mbps=settings.link_mbps,
         )
-        self.event_handlers[Batch] = self.handle_batch
+        self.event_handlers |= {
+            Batch: self.handle_batch,
+            ProbeAnswered: self.handle_probe_answer,
+        }
 
     async def start(self, nursery):
         """Start the tasks of the UDP socket and the readiness server."""
@@ -68,10 +75,26 @@
         early_socket = self.early and self.early.packet_socket
         self.udp_socket = UdpSocket(address, early_socket)
         if self.early is None:
-            nursery.start_soon(self.udp_socket.run, self.inbox)
+            self.start_sockets()
         server = Server(self.settings.readiness, self.answer_probe)
         await nursery.start(server.run)
 
+    def start_sockets(self):
+        """Start the tasks that read the packet socket and the one for probes."""
+        settings = self.settings
+        self.probe_socket = ProbeSocket(self.address, settings.key, settings.data_centre)
+        for reader in (self.udp_socket, self.probe_socket):
+            self.nursery.start_soon(reader.run, self.inbox)
+
+    def probe(self, address):
+        """Probe a control replica; until the early thread has ended, nothing is probed."""
+        if self.probe_socket is not None:
+            self.probe_socket.send(address)
+
+    async def handle_probe_answer(self, event):
+        """Handle a control replica's answer to a probe."""
+        self.logic.handle_probe_answer(event.address, trio.current_time())
+
     def can_take_over(self, now):
         """Return whether this process can route packets as well as the early thread."""
         if now - self.logic.started_at > MAX_EARLY_SECONDS:
@@ -98,7 +121,7 @@
         )
         packets = [(self.codec.read_packet(data), now - seconds) for seconds, data in held]
         self.logic.take_over(packets, router.revision, now)
-        self.nursery.start_soon(self.udp_socket.run, self.inbox)
+        self.start_sockets()
 
     async def answer_probe(self, request):
         """Return the Response to a readiness probe of the fabric; log a changed reason."""
--- /dev/null
+++ b/lycheevalve/daemon/probes.py
@@ -0,0 +1,67 @@
+"""
+Probes of control replicas by UDP, see flows/reachability.py.
+
+A probe is a lookup that asks for nothing, which replicas of earlier versions answer too.
+"""
+
+import os
+
+import attrs
+import trio
+
+from lycheevalve.daemon.udp_socket import UdpSocket
+from lycheevalve.schema.lookups import NONCE, Lookup, decode_answer, derive_key, encode_lookup
+from lycheevalve.utils.addresses import format_address, parse_address
+
+# Probes whose answers may still arrive.
+MAX_PENDING_PROBES = 64
+
+
+@attrs.frozen
+class ProbeAnswered:
+    """The control replica at an address has answered a probe."""
+
+    address: str
+
+
+class ProbeSocket:
+    """The UDP socket for probes; answers go to the owner as ProbeAnswered."""
+
+    def __init__(self, address, key, data_centre):
+        self.socket = UdpSocket(parse_address(address))
+        self.key = derive_key(key.encode())
+        self.data_centre = data_centre
+        # The addresses of probed replicas by nonce.
+        self.pending = {}
+        self.malformed = 0
+
+    def send(self, address):
+        """Send a probe to the control replica at an address."""
+        # A nonce is never used twice, so that no recorded answer is accepted.
+        (nonce,) = NONCE.unpack(os.urandom(NONCE.size))
+        self.pending[nonce] = parse_address(address)
+        if len(self.pending) > MAX_PENDING_PROBES:
+            del self.pending[next(iter(self.pending))]
+        self.socket.send(
+            encode_lookup(self.key, Lookup(nonce, self.data_centre)), self.pending[nonce]
+        )
+
+    def find_answered(self, batch):
+        """Return the addresses of the replicas that answered; count invalid datagrams."""
+        answered = []
+        for data, source in batch:
+            try:
+                answer = decode_answer(self.key, data)
+            except ValueError:
+                self.malformed += 1
+                continue
+            if self.pending.pop(answer.nonce, None) == source:
+                answered.append(format_address(source))
+        return answered
+
+    async def run(self, inbox):
+        """Pass answers to the owner's inbox until cancelled."""
+        while True:
+            await trio.lowlevel.wait_readable(self.socket.socket)
+            for address in self.find_answered(self.socket.read_batch()):
+                await inbox.send(ProbeAnswered(address))
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -53,6 +53,8 @@
     forward: object
     reset: object
     observe: object = ignore
+    # Sends a probe to the control replica at an address, see flows/reachability.py.
+    probe: object = ignore
     heartbeat_seconds: float = 1.0
     # Capacity of the own link; 0 if it is not known.
     link_mbps: float = 0.0
@@ -94,8 +96,12 @@
             is_synced=self.is_synced,
             lease_time=self.subscriptions.lease_time,
             data_centre=self.data_centre,
+            count_instances=self.subscriptions.count_instances,
             heartbeat_seconds=self.heartbeat_seconds,
         )
+        self.reachability = self.cookie_router.reachability = (
+            self.cookie_router.make_reachability(self.list_replicas, self.probe)
+        )
         self.dissemination = Dissemination(
             send=self.send_fetch,
             neighbours=lambda: list(self.subscriptions.sources),
@@ -178,6 +184,16 @@
         """Evict expired upstreams and lost control replicas."""
         self.cookie_router.evict_expired(now)
         self.subscriptions.evict_lost(now)
+        self.reachability.introduce()
+
+    def list_replicas(self):
+        """Return the data centres of all known control replicas by their addresses."""
+        return {a: s.data_centre for a, s in self.subscriptions.sources.items()}
+
+    def handle_probe_answer(self, address, now):
+        """Record that a control replica answered a probe."""
+        self.now = now
+        self.reachability.handle_answer(address, now)
 
     def list_peers(self):
         """Return the control replicas to wait for at the start, then those to fetch from."""
@@ -228,7 +244,8 @@
 
     def lacks_capacity_when_isolated(self, now):
         """Return whether the data centre is cut off and its upstreams lack capacity."""
-        if not self.subscriptions.has_lost_other_data_centres(now):
+        is_lost = self.subscriptions.has_lost_other_data_centres(now)
+        if not (is_lost or self.reachability.is_isolated()):
             return False
         if reaches_other_data_centres(self.upstreams, self.data_centre, now):
             return False
@@ -275,6 +292,7 @@
     def handle_updates(self, sender, update, now):
         """Handle an update of settings and upstreams."""
         self.subscriptions.handle_news(sender, update, now)
+        self.reachability.handle_answer(sender, now)
         self.evacuations.adopt(update.evacuations, now)
         self.update_confirmation()
         for registration in update.registrations:
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -18,6 +18,7 @@
 from lycheevalve.flows.front_doors import UNKNOWN_ROUTE, FrontDoorRoute
 from lycheevalve.flows.held_packets import hold_packet, retry_packets
 from lycheevalve.flows.load import decayed_failure_count
+from lycheevalve.flows.locality import Locality
 from lycheevalve.flows.passive_health import (
     ANSWERED,
     MAX_RETRANSMIT_INTERVAL_SECONDS,
@@ -33,12 +34,17 @@
     record_retransmission,
     update_from_packet,
 )
+from lycheevalve.flows.reachability import Reachability
 
 # Retransmissions of an opening packet arrive within this time of each other.
 OPENING_EXPIRY_SECONDS = 2.0
 # An instance without a packet for this long may be out of the fabric's rotation, with
 # its flows moved to another instance.
 OUT_OF_ROTATION_SECONDS = 0.3
+# Of the copies of an opening packet these go to near upstreams; all those may have failed.
+MAX_NEAR_ATTEMPTS = 2
+# A request to a data centre that is cut off has been lost if it has no answer for this long.
+CUT_REQUEST_SECONDS = 0.1
 # How many flows are tracked, and for how long after their last packet.
 MAX_TRACKED_FLOWS = 65_536
 FLOW_IDLE_TIMEOUT_SECONDS = 15.0
@@ -64,6 +70,8 @@
     # The time against which leases are checked; it lags while no replica is reached.
     lease_time: object = lambda now: now
     data_centre: str = ""
+    # `count_instances(now)`: how many instances the data centre has, 0 if it is not known.
+    count_instances: object = lambda now: 0
     # The LinkScheduler before the own link, or None without one.
     link: object = None
     # How often upstreams announce themselves.
@@ -78,12 +86,24 @@
     # See held_packets.py.
     held: dict = attrs.field(factory=dict)
     failures: FailureDetector = attrs.field(factory=FailureDetector)
+    reachability: Reachability = attrs.field(
+        default=attrs.Factory(lambda self: self.make_reachability(), takes_self=True)
+    )
+    locality: Locality = attrs.field(
+        default=attrs.Factory(lambda self: Locality(self.data_centre), takes_self=True)
+    )
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
     rebalanced_at: float = float("-inf")
     # When a caller last retransmitted.
     retransmitted_at: float = float("-inf")
 
+    def make_reachability(self, list_replicas=dict, probe=lambda address: None):
+        """Return a Reachability of this router's upstreams; see its class."""
+        return Reachability(
+            self.data_centre, list_replicas, lambda: self.upstreams.by_index.values(), probe
+        )
+
     def update_upstream(self, registration, now):
         """Apply an upstream's registration; return whether it is newer than the current one."""
         if not self.upstreams.update(registration, now):
@@ -154,7 +174,7 @@
         self.report_observation(observation, flow, packet)
         if packet.ends:
             self.untrack_flow(packet.flow_key)
-        elif observation == RETRANSMITTED and self.should_reset(route, upstream, now):
+        elif packet.size and self.should_reset(route, upstream, observation, now):
             self.reset_flow(packet, "upstream_silent", upstream)
             return True
         self.forward(upstream, packet.cookie, packet)
@@ -163,8 +183,10 @@
     def record_delivery(self, flow, packet, now):
         """Record which packets an acknowledgement proves to have left this instance."""
         if flow.opening:
-            at, _ = self.openings.get(packet.flow_key, (flow.last_packet_at, ()))
+            at, tried = self.openings.get(packet.flow_key, (flow.last_packet_at, ()))
             self.failures.deliveries.record(at, now)
+            if len(tried) == 1:
+                self.locality.record_round_trip(now - at)
         elif flow.sent is not None and advances_acknowledgement(flow, packet):
             # Requests may be refused before all of their packets have arrived.
             self.failures.deliveries.record(flow.first_sent_at, now)
@@ -181,24 +203,31 @@
         if observation == ANSWERED:
             self.observe("answered", upstream=upstream, seconds=flow.answer_seconds)
             self.failures.record_answer_time(upstream.service, flow.answer_seconds)
+            self.locality.record_answer(
+                upstream.service, flow.answer_seconds, flow.last_packet_at
+            )
         elif observation == RETRANSMITTED:
             self.retransmitted_at = flow.last_packet_at
             self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
+            self.reachability.handle_silence(upstream, flow.last_packet_at)
 
-    def should_reset(self, route, upstream, now):
+    def should_reset(self, route, upstream, observation, now):
         """
         Return whether to reset a flow so that its caller opens one on a healthy upstream.
 
         Only a flow that is itself unanswered is reset: one that has just moved here from
-        another instance brings no evidence, and what was seen here may be out of date.
+        another instance brings no evidence, and what was seen here may be out of date. To a
+        data centre that is cut off no flow is worth another packet.
         """
+        if observation != RETRANSMITTED and not self.reachability.is_cut(upstream):
+            return False
         if not (route.idempotent and self.is_failed(upstream, now)):
             return False
         return self.has_alternative(upstream, now)
 
     def is_failed(self, upstream, now):
         """Return whether an upstream has failed beyond doubt, so that flows may be reset."""
-        if self.failures.is_cut_off(upstream, now):
+        if self.reachability.is_cut(upstream) or self.failures.is_cut_off(upstream, now):
             return True
         return is_unresponsive_now(upstream, now) and self.failures.has_failed(upstream, now)
 
@@ -214,7 +243,29 @@
     def has_alternative(self, upstream, now):
         """Return whether another upstream of the service is healthy."""
         others = self.candidates(upstream.service, now)
-        return any(is_healthy(other, now) for other in others)
+        is_cut = self.reachability.is_cut
+        return any(is_healthy(other, now) and not is_cut(other) for other in others)
+
+    def reset_flows_cut_off(self, now):
+        """
+        Reset the flows on data centres that are cut off, where their callers lose nothing.
+
+        These are idle flows, before their callers' next requests, and those whose idempotent
+        request has been lost. A flow that has moved to another instance is cut off there too.
+        """
+        if not self.reachability.cut_since:
+            return
+        cut = [u for u in self.upstreams.by_index.values() if self.reachability.is_cut(u)]
+        replaceable = [u for u in cut if u.flows and self.has_alternative(u, now)]
+        if not replaceable:
+            return
+        for flow in [flow for flow in self.flows.values() if flow.upstream in replaceable]:
+            packet = flow.last_ack_packet
+            if packet is None or flow.opening:
+                continue
+            is_lost = now - flow.sent_at >= CUT_REQUEST_SECONDS and self.is_idempotent(packet)
+            if flow.idle or is_lost:
+                self.reset_flow(packet, "data_centre_cut", flow.upstream)
 
     def reset_unresponsive_flows(self, now):
         """
@@ -287,6 +338,7 @@
         if packet.copy and now - at >= MIN_RETRANSMIT_INTERVAL_SECONDS:
             record_retransmission(tried[-1], now)
             record_silence(tried[-1], packet.flow_key, at, now, acknowledged_at_once=True)
+            self.reachability.handle_silence(tried[-1], now)
             self.retransmitted_at = now
         if not packet.copy and self.link is not None and not self.link.can_accept(route):
             self.reset_flow(packet, "link_backlog")
@@ -315,9 +367,11 @@
             return None
         weights = [weight for weight, _ in usable]
         candidates = self.random.choices([c for _, c in usable], weights)[0]
-        is_silent = self.failures.is_in_silent_data_centre
-        reached = [u for u in candidates if not is_silent(u, now)]
+        is_silent, is_cut = self.failures.is_in_silent_data_centre, self.reachability.is_cut
+        reached = [u for u in candidates if not (is_cut(u) or is_silent(u, now))]
         candidates = exclude_unresponsive(reached or candidates, may_probe, now)
+        if len(tried) < MAX_NEAR_ATTEMPTS:
+            candidates = self.locality.select_near(candidates, self.count_instances(now), now)
         untried = [upstream for upstream in candidates if upstream not in tried]
         chosen = min(untried or candidates, key=lambda u: self.cost(u, now))
         if is_unresponsive(chosen, now):
@@ -401,12 +455,17 @@
 
     def has_pending_work(self, now):
         """Return whether packets are held or callers retransmit, so that ticks are urgent."""
-        return bool(self.held) or now - self.retransmitted_at < MAX_RETRANSMIT_INTERVAL_SECONDS
+        if self.held or self.reachability.is_active:
+            return True
+        return now - self.retransmitted_at < MAX_RETRANSMIT_INTERVAL_SECONDS
 
     def tick(self, now):
         """Retry held packets, reset flows on unresponsive upstreams, evict idle records."""
         self.retry_held(now)
+        for data_centre in self.reachability.tick(now):
+            self.observe("data_centre_cut", data_centre=data_centre)
         self.find_silent_data_centres(now)
+        self.reset_flows_cut_off(now)
         self.reset_unresponsive_flows(now)
         self.reset_flows_of_replaced_upstreams(now)
         self.evict_oldest(
@@ -435,6 +494,8 @@
         self.flows.clear()
         self.openings.clear()
         self.failures.clear()
+        self.locality.clear()
+        self.reachability.clear()
         for upstream in self.upstreams.by_index.values():
             upstream.flows = upstream.unanswered = 0
             upstream.silences.clear()
--- /dev/null
+++ b/lycheevalve/flows/reachability.py
@@ -0,0 +1,226 @@
+"""
+Reachability: which data centres this instance has lost, found out within a caller's time.
+
+Load: a data centre is cut off from the others while callers hold long flows across the cut.
+They send a request again after 0.2 and 0.6 s and give up after a second, and must not repeat
+one that isn't idempotent. Single flows prove a failure only after most of them have given
+up, and the connections to control replicas fail later still.
+
+When an upstream of another data centre leaves a request unanswered, the instance probes the
+control replicas of all data centres. What has not answered by the end of a few probes is
+silent; the silence of a data centre is believed if
+
+- other replicas answered the same probes, so neither this instance nor all replicas failed,
+- no upstream there has answered meanwhile, so packets do not get through,
+- enough silent replicas and upstreams agree: one of them may just have failed.
+
+Nothing is sent while upstreams answer.
+"""
+
+import attrs
+
+# Probes are sent this often until all have answered or the verdict is due: an answer takes a
+# few milliseconds, and a probe may be lost.
+PROBE_INTERVAL_SECONDS = 0.05
+VERDICT_SECONDS = 0.15
+# A later tick than this means that answers may still wait in the socket.
+LATE_TICK_SECONDS = 0.12
+# How often a data centre that is cut off is probed.
+CUT_PROBE_INTERVAL_SECONDS = 0.2
+# After a round of probes that found nothing, none is started for this long.
+ROUND_PAUSE_SECONDS = 0.25
+# How many silent replicas and upstreams have to agree.
+MIN_WITNESSES = 3
+# An upstream whose caller has not sent again for this long brings no evidence: callers do
+# so after 0.2, 0.6 and 1.4 s.
+SILENCE_SECONDS = 0.8
+
+
+@attrs.define
+class Replica:
+    """A control replica as a witness; times in seconds."""
+
+    data_centre: str
+    answered_at: float = float("-inf")
+
+
+@attrs.define
+class Reachability:
+    """
+    The probes of one instance, and the data centres that it concludes to be cut off.
+
+    `list_replicas()` returns the data centre of each control replica by its address,
+    `list_upstreams()` the upstreams, and `probe(address)` sends a probe.
+    """
+
+    data_centre: str
+    list_replicas: object
+    list_upstreams: object
+    probe: object
+    replicas: dict[str, Replica] = attrs.field(factory=dict)
+    # When the current round of probes and its last probe were sent; None without a round.
+    started_at: float | None = None
+    probed_at: float = float("-inf")
+    ended_at: float = float("-inf")
+    ticked_at: float = float("-inf")
+    # Since when data centres are cut off.
+    cut_since: dict[str, float] = attrs.field(factory=dict)
+
+    def handle_silence(self, upstream, now):
+        """Start a round of probes as an upstream left a request or an opening unanswered."""
+        if upstream.registration.data_centre in (self.data_centre, *self.cut_since):
+            return
+        if self.started_at is None and now - self.ended_at >= ROUND_PAUSE_SECONDS:
+            self.started_at = self.ticked_at = now
+            self.send_probes(self.update_replicas(), now)
+
+    def handle_answer(self, address, now):
+        """Record that a control replica has answered a probe or a poll."""
+        replica = self.replicas.get(address)
+        if replica is None:
+            data_centre = self.list_replicas().get(address, "")
+            replica = self.replicas[address] = Replica(data_centre)
+        replica.answered_at = now
+        self.cut_since.pop(replica.data_centre, None)
+
+    def introduce(self):
+        """Probe the replicas that have never answered, so that their silence counts later."""
+        self.update_replicas()
+        unknown = [a for a, r in self.replicas.items() if r.answered_at == float("-inf")]
+        for address in unknown:
+            self.probe(address)
+
+    def update_replicas(self):
+        """Adopt the current list of replicas; return their addresses."""
+        listed = self.list_replicas()
+        for address, data_centre in listed.items():
+            if address in self.replicas:
+                self.replicas[address].data_centre = data_centre
+            else:
+                self.replicas[address] = Replica(data_centre)
+        for address in [address for address in self.replicas if address not in listed]:
+            del self.replicas[address]
+        return list(self.replicas)
+
+    def send_probes(self, addresses, now):
+        """Probe replicas."""
+        self.probed_at = now
+        for address in addresses:
+            self.probe(address)
+
+    def tick(self, now):
+        """Continue the probes; return the data centres newly found to be cut off."""
+        is_late = now - self.ticked_at > LATE_TICK_SECONDS
+        self.ticked_at = now
+        self.end_cuts()
+        if self.started_at is None:
+            if self.cut_since and now - self.probed_at >= CUT_PROBE_INTERVAL_SECONDS:
+                listed = self.update_replicas()
+                cut = [a for a in listed if self.replicas[a].data_centre in self.cut_since]
+                self.send_probes(cut, now)
+            return []
+        if is_late or now - self.probed_at > LATE_TICK_SECONDS:
+            # The time in which this process was not running does not count.
+            self.started_at = now
+        if now - self.started_at < VERDICT_SECONDS:
+            if now - self.probed_at >= PROBE_INTERVAL_SECONDS:
+                self.send_probes(self.find_unanswered(), now)
+            return []
+        found = self.find_cut(now)
+        self.started_at, self.ended_at = None, now
+        for data_centre in found:
+            self.cut_since[data_centre] = now
+        return found
+
+    def end_cuts(self):
+        """End the cuts of data centres that have answered or have no replica any more."""
+        if not self.cut_since:
+            return
+        answered_at = self.find_last_answers()
+        known = {replica.data_centre for replica in self.replicas.values()}
+        for name, since in list(self.cut_since.items()):
+            if answered_at.get(name, float("-inf")) > since or name not in known:
+                del self.cut_since[name]
+
+    def find_unanswered(self):
+        """Return the addresses of the replicas that have not answered in this round."""
+        return [a for a, r in self.replicas.items() if r.answered_at < self.started_at]
+
+    def find_last_answers(self):
+        """Return when upstreams last answered, by data centre."""
+        last = {}
+        for upstream in self.list_upstreams():
+            name = upstream.registration.data_centre
+            last[name] = max(last.get(name, float("-inf")), upstream.answered_at)
+        return last
+
+    def find_cut(self, now):
+        """Return the data centres that are cut off as the round of probes shows it."""
+        silent = self.find_silent_replicas()
+        answering = {r.data_centre for r in self.replicas.values()} - silent.keys() - {""}
+        if not any(r.answered_at >= self.started_at for r in self.replicas.values()):
+            return []
+        answered_at = self.find_last_answers()
+        silent = {
+            name: count
+            for name, count in silent.items()
+            if answered_at.get(name, float("-inf")) < self.started_at
+        }
+        upstreams = self.find_silent_upstreams(now)
+        witnesses = {name: count + upstreams.get(name, 0) for name, count in silent.items()}
+        if answering <= {self.data_centre}:
+            # This data centre is cut off from all others, which are judged together.
+            return list(silent) if sum(witnesses.values()) >= MIN_WITNESSES else []
+        return [
+            name
+            for name, count in witnesses.items()
+            if upstreams.get(name) and count >= MIN_WITNESSES
+        ]
+
+    def find_silent_replicas(self):
+        """
+        Return the number of silent replicas of each data centre without an answering one.
+
+        A replica that has never answered this process may not have started yet.
+        """
+        answered = {
+            r.data_centre for r in self.replicas.values() if r.answered_at >= self.started_at
+        }
+        silent = {}
+        for replica in self.replicas.values():
+            name = replica.data_centre
+            if name and name not in answered and replica.answered_at > float("-inf"):
+                silent[name] = silent.get(name, 0) + 1
+        return silent
+
+    def find_silent_upstreams(self, now):
+        """Return the number of upstreams with unanswered requests by data centre."""
+        counts = {}
+        for upstream in self.list_upstreams():
+            if any(
+                silence.sent_at > upstream.answered_at
+                and now - silence.repeated_at <= SILENCE_SECONDS
+                for silence in upstream.silences.values()
+            ):
+                name = upstream.registration.data_centre
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def is_cut(self, upstream):
+        """Return whether an upstream's data centre is cut off from this instance."""
+        return upstream.registration.data_centre in self.cut_since
+
+    def is_isolated(self):
+        """Return whether all data centres but this one are cut off."""
+        others = {r.data_centre for r in self.replicas.values()} - {"", self.data_centre}
+        return bool(others) and others <= self.cut_since.keys()
+
+    @property
+    def is_active(self):
+        """Return whether probes are due, so that ticks are urgent."""
+        return self.started_at is not None or bool(self.cut_since)
+
+    def clear(self):
+        """Discard what was concluded before a pause of the process."""
+        self.started_at = None
+        self.cut_since.clear()
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -106,6 +106,12 @@
         "No upstream of a data centre answers this instance, while others do.",
         {"data_centre": str},
     ),
+    Event(
+        "data_centre_cut",
+        WARNING,
+        "No control replica and no upstream of a data centre answers this instance any more.",
+        {"data_centre": str},
+    ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
     Event(
         "ready",
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -427,6 +427,9 @@
   // The data centres of `controls`, in their order; empty where the sender has none.
   11: list<string> control_data_centres
   12: Evacuations evacuations
+  // How many entry instances of the sender's data centre poll it; to an entry instance, how
+  // many poll the replicas of that data centre. 0 from earlier versions.
+  13: i32 near_instances
 }
 
 struct ReadRequest {
