Check silent upstreams from replicas, and share the findings in a data centre

Change: at the first copy of a request an instance asks the replicas of its own data centre by one signed datagram; the replica opens a connection to the upstream without a request, twice within 0.15 s; if none is accepted, all instances of the data centre get its cookie at once, with the answer to the poll that is pending. They place no flow there, and reset idle flows and lost idempotent requests, unless the upstream answers them. Checked again every 0.5 s.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -15,6 +15,7 @@
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS, Feed, is_renewal
 from lycheevalve.coordination.subscriptions import Subscriptions
 from lycheevalve.coordination.timers import Timers
+from lycheevalve.coordination.upstream_checks import UpstreamChecks
 from lycheevalve.flows.lookups import LookupTable
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.schema.generated import messages
@@ -66,7 +67,7 @@
     # In the order of their deadlines.
     pending_polls: collections.deque = attrs.field(factory=collections.deque)
     # The latest urgent update and revision that the pending polls were checked for.
-    checked_update: tuple = (0, 0, 0)
+    checked_update: tuple = (0, 0, 0, 0)
     pending_deregistrations: list = attrs.field(factory=list)
     # Set by the owner from its replica of the log: whether that is current, and its members.
     current: bool = False
@@ -91,16 +92,19 @@
             ready=True,
         )
         self.evacuations = AppliedEvacuations(self.apply_evacuations)
+        self.checks = UpstreamChecks(self.lookups.cookies.find)
         self.feed = Feed(
             self.incarnation,
             self.upstreams,
             self.dissemination,
             self.evacuations,
+            self.checks,
             self.now,
             self.data_centre,
         )
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.answer_pending, self.now)
         self.timers.subscribe(EXPIRY_INTERVAL_SECONDS, self.feed.publish_expired, self.now)
+        self.timers.subscribe(EXPIRY_INTERVAL_SECONDS, self.continue_checks, self.now)
         self.timers.subscribe(EVICTION_INTERVAL_SECONDS, self.evict_expired, self.now)
 
     def run_timers(self, now):
@@ -183,6 +187,24 @@
         is_informed = self.current and self.subscriptions.reaches_most(now)
         return self.lookups.answer(lookup, is_informed, now)
 
+    # Checks of upstreams, see coordination/upstream_checks.py.
+
+    def request_check(self, cookie, now):
+        """Check an upstream that an entry instance of this data centre gets no answer from."""
+        return self.checks.request(cookie, now)
+
+    def handle_check_result(self, cookie, is_reachable, now):
+        """Handle the result of a check; subscribers get a changed one at once."""
+        before = self.checks.number
+        self.checks.record_result(cookie, is_reachable)
+        if self.checks.number != before:
+            self.observe("upstream_check", cookie=cookie, reachable=is_reachable)
+        self.answer_pending(now)
+
+    def continue_checks(self, now):
+        """Check unreachable upstreams again."""
+        self.checks.tick(self.subscriptions.near_sources(now), now)
+
     # Subscribers.
 
     def handle_poll(self, poll, reply, now):
@@ -202,7 +224,7 @@
     def answer_pending(self, now):
         """Answer the pending requests that are complete or past their deadline."""
         held = self.dissemination.held.revision
-        update = (self.feed.urgent_version, held, self.evacuations.number)
+        update = (self.feed.urgent_version, held, self.evacuations.number, self.checks.number)
         if update != self.checked_update:
             self.checked_update = update
             pending, self.pending_polls = self.pending_polls, collections.deque()
@@ -222,7 +244,8 @@
 
     def answer_poll(self, entry, now):
         """Answer a pending poll with the updates since the version that it carries."""
-        others_near = sum(self.subscriptions.near_counts(now))
+        near = self.subscriptions.near_sources(now).values()
+        others_near = sum(source.near_instances for source in near)
         news = self.feed.build_news(
             entry.poll, self.current, self.find_controls(now), now, others_near
         )
@@ -279,6 +302,8 @@
             for registration in message.registrations:
                 self.apply_registration(registration, now, sender)
             self.evacuations.adopt(message.evacuations, now)
+            if message.data_centre == self.data_centre:
+                self.checks.adopt(sender, message.unreachable or ())
             self.feed.settled = self.feed.settled or message.settled
             self.dissemination.update_peer(
                 sender, message.applied, message.held, now, message.current
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -49,13 +49,15 @@
 
     `number` identifies this start of the feed, since versions restart with it;
     `upstreams` is the table of flows/upstreams.py; `dissemination` holds the
-    configuration, and `evacuations` is the AppliedEvacuations of evacuations.py.
+    configuration, `evacuations` is the AppliedEvacuations of evacuations.py, and `checks` the
+    UpstreamChecks of upstream_checks.py.
     """
 
     number: int
     upstreams: object
     dissemination: object
     evacuations: object
+    checks: object
     started_at: float
     data_centre: str = ""
     version: int = 0
@@ -161,6 +163,8 @@
         # A subscriber of an earlier version reports 0.
         if 0 < poll.evacuations_applied <= self.evacuations.number:
             return True
+        if 0 < poll.unreachable_known <= self.checks.number:
+            return True
         return poll.told < self.dissemination.held.revision
 
     def is_acknowledged(self, version, now):
@@ -185,7 +189,7 @@
         held, applied = self.dissemination.held.revision, self.dissemination.applied.revision
         settled = self.is_settled(now)
         key = (version, self.version, poll.changes_only, current, held, applied, settled)
-        key = (*key, tuple(controls), self.evacuations.number)
+        key = (*key, tuple(controls), self.evacuations.number, self.checks.number)
         if key not in self.answers:
             self.answers[key] = News(
                 applied=applied,
@@ -202,6 +206,10 @@
                 evacuations=self.evacuations.evacuations,
                 near_instances=self.count_near_instances(now)
                 + (others_near if poll.changes_only else 0),
+                unreachable=self.checks.list_unreachable()
+                if poll.changes_only
+                else self.checks.list_found(),
+                unreachable_number=self.checks.number,
             )
         return self.answers[key]
 
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -46,6 +46,9 @@
     data_centre: str = ""
     # See News.near_instances.
     near_instances: int = 0
+    # The cookies of the upstreams that it reports as unreachable, and their number.
+    unreachable: frozenset = frozenset()
+    unreachable_number: int = 0
     answered_at: float = float("-inf")
     # When it was last listed by a replica or answered.
     last_listed_at: float = float("-inf")
@@ -195,6 +198,7 @@
             told=source.reported_revision,
             changes_only=not self.is_control,
             evacuations_applied=evacuations_number + 1,
+            unreachable_known=source.unreachable_number + 1,
         )
 
     def handle_news(self, address, news, now):
@@ -215,6 +219,8 @@
         source.current_at = now if news.current else source.current_at
         source.data_centre = news.data_centre
         source.near_instances = news.near_instances or 0
+        source.unreachable = frozenset(news.unreachable or ())
+        source.unreachable_number = news.unreachable_number or 0
         source.changes_only = bool(news.changes_only)
         if source.changes_only:
             self.update_source_leases(source, news.registrations)
@@ -247,18 +253,19 @@
             a for a, s in self.sources.items() if now - s.answered_at < CONTACT_TIMEOUT_SECONDS
         ]
 
-    def near_counts(self, now):
-        """Return the numbers of entry instances that replicas of this data centre report."""
-        return [
-            source.near_instances
-            for source in self.sources.values()
+    def near_sources(self, now):
+        """Return the sources of this data centre in contact, by their addresses."""
+        return {
+            address: source
+            for address, source in self.sources.items()
             if source.data_centre == self.data_centre
             and now - source.answered_at < CONTACT_TIMEOUT_SECONDS
-        ]
+        }
 
     def count_instances(self, now):
         """Return how many entry instances this data centre has, 0 if it is not known."""
-        return max(self.near_counts(now), default=0)
+        counts = [source.near_instances for source in self.near_sources(now).values()]
+        return max(counts, default=0)
 
     def reaches_most(self, now):
         """Return whether this process and the sources in contact are most of all known."""
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -32,6 +32,7 @@
 from lycheevalve.daemon.replica_task import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.role_process import INBOX_EVENTS, RoleProcess
 from lycheevalve.daemon.udp_socket import UdpSocket
+from lycheevalve.daemon.upstream_checks import UpstreamChecked, check_upstream
 from lycheevalve.exceptions import StorageError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import (
@@ -41,7 +42,13 @@
     ReadRequest,
     ReadResult,
 )
-from lycheevalve.schema.lookups import decode_lookup, derive_key, encode_answer
+from lycheevalve.schema.lookups import (
+    decode_check,
+    decode_lookup,
+    derive_key,
+    encode_answer,
+    is_check,
+)
 from lycheevalve.utils.addresses import format_address, parse_address
 
 # Operators try another replica when they get no answer within a second.
@@ -99,6 +106,7 @@
         )
         self.lookup_key = derive_key(settings.key.encode())
         self.lookup_socket = None
+        self.nursery = None
         self.make_server = make_server
         self.early = early
         self.view = ReplicaView()
@@ -113,11 +121,13 @@
             ReplicaView: self.handle_view,
             Announcement: self.handle_announcement,
             Deregistration: self.handle_deregistration,
-            Batch: self.handle_lookups,
+            Batch: self.handle_datagrams,
+            UpstreamChecked: self.handle_check_result,
         }
 
     async def start(self, nursery):
         """Start the tasks of the log, the links and the server."""
+        self.nursery = nursery
         # The name of a replica is its address, so `str` returns the address of a name.
         self.links = Links(self.make_codec, str, nursery)
         self.replica_inbox, receiver = trio.open_memory_channel(INBOX_EVENTS)
@@ -304,19 +314,31 @@
             fetched = self.logic.dissemination.build_fetched(message.revision)
             event.reply.send_nowait(fetched)
 
-    async def handle_lookups(self, batch):
-        """Answer lookups of instances that have just started; count invalid ones."""
+    async def handle_datagrams(self, batch):
+        """Handle lookups and requests for checks of instances; count invalid ones."""
         now = trio.current_time()
         for data, source in batch.datagrams:
+            kind = "check" if is_check(data) else "lookup"
             try:
-                lookup = decode_lookup(self.lookup_key, data)
+                if kind == "check":
+                    self.logic.request_check(decode_check(self.lookup_key, data), now)
+                else:
+                    self.answer_lookup(data, source, now)
             except ValueError as error:
-                self.count_call("lookup", "malformed")
+                self.count_call(kind, "malformed")
                 record("lookup_refused", peer=format_address(source), reason=str(error))
                 continue
-            answer = self.logic.answer_lookup(lookup, now)
-            self.count_call("lookup", "answered")
-            self.lookup_socket.send(encode_answer(self.lookup_key, answer), source)
+            self.count_call(kind, "answered")
+
+    def answer_lookup(self, data, source, now):
+        """Answer the lookup in a datagram; raise ValueError if it is not a valid one."""
+        answer = self.logic.answer_lookup(decode_lookup(self.lookup_key, data), now)
+        self.lookup_socket.send(encode_answer(self.lookup_key, answer), source)
+
+    async def handle_check_result(self, event):
+        """Handle the result of the check of an upstream."""
+        now = trio.current_time()
+        self.logic.handle_check_result(event.cookie, event.is_reachable, now)
 
     async def handle_announcement(self, event):
         """Handle an upstream's announcement."""
@@ -346,6 +368,9 @@
         answers, self.logic.answers = self.logic.answers, []
         for reply, answer in answers:
             reply.send_nowait(answer)
+        queued, self.logic.checks.queue = self.logic.checks.queue, []
+        for cookie, address in queued:
+            self.nursery.start_soon(check_upstream, cookie, address, self.inbox)
         learners = frozenset(self.logic.learners(trio.current_time()))
         if learners != self.learners:
             try:
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -56,6 +56,7 @@
             reset=self.reset,
             observe=self.observe,
             probe=self.probe,
+            request_check=self.request_check,
             heartbeat_seconds=settings.heartbeat_ms / 1000,
             link_mbps=settings.link_mbps,
         )
@@ -91,6 +92,11 @@
         if self.probe_socket is not None:
             self.probe_socket.send(address)
 
+    def request_check(self, address, cookie):
+        """Ask a control replica to check an upstream."""
+        if self.probe_socket is not None:
+            self.probe_socket.request_check(address, cookie)
+
     async def handle_probe_answer(self, event):
         """Handle a control replica's answer to a probe."""
         self.logic.handle_probe_answer(event.address, trio.current_time())
--- a/lycheevalve/daemon/probes.py
+++ b/lycheevalve/daemon/probes.py
@@ -1,5 +1,6 @@
 """
-Probes of control replicas by UDP, see flows/reachability.py.
+Probes of control replicas by UDP, see flows/reachability.py, and requests for checks of
+upstreams, see coordination/upstream_checks.py.
 
 A probe is a lookup that asks for nothing, which replicas of earlier versions answer too.
 """
@@ -10,7 +11,14 @@
 import trio
 
 from lycheevalve.daemon.udp_socket import UdpSocket
-from lycheevalve.schema.lookups import NONCE, Lookup, decode_answer, derive_key, encode_lookup
+from lycheevalve.schema.lookups import (
+    NONCE,
+    Lookup,
+    decode_answer,
+    derive_key,
+    encode_check,
+    encode_lookup,
+)
 from lycheevalve.utils.addresses import format_address, parse_address
 
 # Probes whose answers may still arrive.
@@ -46,6 +54,10 @@
             encode_lookup(self.key, Lookup(nonce, self.data_centre)), self.pending[nonce]
         )
 
+    def request_check(self, address, cookie):
+        """Ask the control replica at an address to check the upstream of a cookie."""
+        self.socket.send(encode_check(self.key, cookie), parse_address(address))
+
     def find_answered(self, batch):
         """Return the addresses of the replicas that answered; count invalid datagrams."""
         answered = []
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -55,6 +55,8 @@
     observe: object = ignore
     # Sends a probe to the control replica at an address, see flows/reachability.py.
     probe: object = ignore
+    # Asks the control replica at an address to check the upstream of a cookie.
+    request_check: object = ignore
     heartbeat_seconds: float = 1.0
     # Capacity of the own link; 0 if it is not known.
     link_mbps: float = 0.0
@@ -97,6 +99,7 @@
             lease_time=self.subscriptions.lease_time,
             data_centre=self.data_centre,
             count_instances=self.subscriptions.count_instances,
+            report_silence=self.report_silence,
             heartbeat_seconds=self.heartbeat_seconds,
         )
         self.reachability = self.cookie_router.reachability = (
@@ -190,6 +193,18 @@
         """Return the data centres of all known control replicas by their addresses."""
         return {a: s.data_centre for a, s in self.subscriptions.sources.items()}
 
+    def report_silence(self, upstream, now):
+        """Ask the control replicas of this data centre to check an upstream."""
+        for address in self.subscriptions.near_sources(now):
+            self.request_check(address, upstream.cookie)
+
+    def update_unreachable(self, now):
+        """Apply what the control replicas of this data centre report as unreachable."""
+        sources = self.subscriptions.near_sources(now).values()
+        cookies = frozenset().union(*(source.unreachable for source in sources))
+        if self.cookie_router.set_unreachable(cookies, now):
+            self.observe("unreachable", upstreams=len(cookies))
+
     def handle_probe_answer(self, address, now):
         """Record that a control replica answered a probe."""
         self.now = now
@@ -204,6 +219,7 @@
     def update_sources(self, now):
         """Choose the control replicas to poll; check all leases if their reports are new."""
         self.subscriptions.choose_active(now, started=self.dissemination.ready)
+        self.update_unreachable(now)
         self.lease_sources = self.subscriptions.lease_sources(now)
         feeds = [self.subscriptions.sources[address].feed for address in self.lease_sources]
         reports = (*self.lease_sources, *feeds, self.subscriptions.is_settled(now))
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -21,6 +21,7 @@
 from lycheevalve.flows.locality import Locality
 from lycheevalve.flows.passive_health import (
     ANSWERED,
+    HEALTHY_ANSWER_SECONDS,
     MAX_RETRANSMIT_INTERVAL_SECONDS,
     MIN_RETRANSMIT_INTERVAL_SECONDS,
     RETRANSMITTED,
@@ -41,10 +42,13 @@
 # An instance without a packet for this long may be out of the fabric's rotation, with
 # its flows moved to another instance.
 OUT_OF_ROTATION_SECONDS = 0.3
+# An upstream that is reported as unreachable has not answered for at least this long: from
+# a request to its first copy, and during the check.
+UNREACHABLE_REPORT_SECONDS = 0.25
 # Of the copies of an opening packet these go to near upstreams; all those may have failed.
 MAX_NEAR_ATTEMPTS = 2
-# A request to a data centre that is cut off has been lost if it has no answer for this long.
-CUT_REQUEST_SECONDS = 0.1
+# A request to an upstream that is cut off has been lost if it has no answer for this long.
+LOST_REQUEST_SECONDS = 0.1
 # How many flows are tracked, and for how long after their last packet.
 MAX_TRACKED_FLOWS = 65_536
 FLOW_IDLE_TIMEOUT_SECONDS = 15.0
@@ -72,6 +76,8 @@
     data_centre: str = ""
     # `count_instances(now)`: how many instances the data centre has, 0 if it is not known.
     count_instances: object = lambda now: 0
+    # `report_silence(upstream, now)`: an upstream has left a caller without an answer.
+    report_silence: object = lambda upstream, now: None
     # The LinkScheduler before the own link, or None without one.
     link: object = None
     # How often upstreams announce themselves.
@@ -92,6 +98,8 @@
     locality: Locality = attrs.field(
         default=attrs.Factory(lambda self: Locality(self.data_centre), takes_self=True)
     )
+    # Since when control replicas report upstreams as unreachable, by cookie.
+    unreachable_since: dict[int, float] = attrs.field(factory=dict)
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
     rebalanced_at: float = float("-inf")
@@ -209,17 +217,44 @@
         elif observation == RETRANSMITTED:
             self.retransmitted_at = flow.last_packet_at
             self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
-            self.reachability.handle_silence(upstream, flow.last_packet_at)
+            self.handle_silence(upstream, flow.last_packet_at)
+
+    def handle_silence(self, upstream, now):
+        """Have a silent upstream and its data centre checked."""
+        self.reachability.handle_silence(upstream, now)
+        if not self.is_lost(upstream, now):
+            self.report_silence(upstream, now)
+
+    def set_unreachable(self, cookies, now):
+        """Apply the cookies of unreachable upstreams; return whether there are new ones."""
+        new = cookies - self.unreachable_since.keys()
+        since = now - UNREACHABLE_REPORT_SECONDS
+        self.unreachable_since = {c: self.unreachable_since.get(c, since) for c in cookies}
+        if new:
+            self.reset_lost_flows(now)
+        return bool(new)
+
+    def is_lost(self, upstream, now):
+        """Return whether packets to an upstream are lost: it or its data centre is cut off."""
+        if self.reachability.is_cut(upstream):
+            return True
+        since = self.unreachable_since.get(upstream.cookie)
+        if since is None:
+            return False
+        # An upstream that answers here is not lost: the replica may be the one cut off.
+        return upstream.answered_at < max(since, now - HEALTHY_ANSWER_SECONDS)
 
     def should_reset(self, route, upstream, observation, now):
         """
         Return whether to reset a flow so that its caller opens one on a healthy upstream.
 
         Only a flow that is itself unanswered is reset: one that has just moved here from
-        another instance brings no evidence, and what was seen here may be out of date. To a
-        data centre that is cut off no flow is worth another packet.
+        another instance brings no evidence, and what was seen here may be out of date. Where
+        packets are known to be lost, the first one suffices.
         """
-        if observation != RETRANSMITTED and not self.reachability.is_cut(upstream):
+        if self.is_lost(upstream, now):
+            return route.idempotent and self.has_usable_alternative(upstream, now)
+        if observation != RETRANSMITTED:
             return False
         if not (route.idempotent and self.is_failed(upstream, now)):
             return False
@@ -227,7 +262,7 @@
 
     def is_failed(self, upstream, now):
         """Return whether an upstream has failed beyond doubt, so that flows may be reset."""
-        if self.reachability.is_cut(upstream) or self.failures.is_cut_off(upstream, now):
+        if self.is_lost(upstream, now) or self.failures.is_cut_off(upstream, now):
             return True
         return is_unresponsive_now(upstream, now) and self.failures.has_failed(upstream, now)
 
@@ -243,29 +278,33 @@
     def has_alternative(self, upstream, now):
         """Return whether another upstream of the service is healthy."""
         others = self.candidates(upstream.service, now)
-        is_cut = self.reachability.is_cut
-        return any(is_healthy(other, now) and not is_cut(other) for other in others)
+        return any(is_healthy(other, now) and not self.is_lost(other, now) for other in others)
+
+    def has_usable_alternative(self, upstream, now):
+        """Return whether another upstream of the service is not known to have failed."""
+        others = self.candidates(upstream.service, now)
+        return any(not (is_unresponsive(u, now) or self.is_lost(u, now)) for u in others)
 
-    def reset_flows_cut_off(self, now):
+    def reset_lost_flows(self, now):
         """
-        Reset the flows on data centres that are cut off, where their callers lose nothing.
+        Reset the flows on upstreams that are cut off, where their callers lose nothing.
 
         These are idle flows, before their callers' next requests, and those whose idempotent
         request has been lost. A flow that has moved to another instance is cut off there too.
         """
-        if not self.reachability.cut_since:
+        if not (self.reachability.cut_since or self.unreachable_since):
             return
-        cut = [u for u in self.upstreams.by_index.values() if self.reachability.is_cut(u)]
-        replaceable = [u for u in cut if u.flows and self.has_alternative(u, now)]
+        lost = [u for u in self.upstreams.by_index.values() if u.flows and self.is_lost(u, now)]
+        replaceable = [u for u in lost if self.has_usable_alternative(u, now)]
         if not replaceable:
             return
         for flow in [flow for flow in self.flows.values() if flow.upstream in replaceable]:
             packet = flow.last_ack_packet
             if packet is None or flow.opening:
                 continue
-            is_lost = now - flow.sent_at >= CUT_REQUEST_SECONDS and self.is_idempotent(packet)
+            is_lost = now - flow.sent_at >= LOST_REQUEST_SECONDS and self.is_idempotent(packet)
             if flow.idle or is_lost:
-                self.reset_flow(packet, "data_centre_cut", flow.upstream)
+                self.reset_flow(packet, "upstream_cut_off", flow.upstream)
 
     def reset_unresponsive_flows(self, now):
         """
@@ -338,7 +377,7 @@
         if packet.copy and now - at >= MIN_RETRANSMIT_INTERVAL_SECONDS:
             record_retransmission(tried[-1], now)
             record_silence(tried[-1], packet.flow_key, at, now, acknowledged_at_once=True)
-            self.reachability.handle_silence(tried[-1], now)
+            self.handle_silence(tried[-1], now)
             self.retransmitted_at = now
         if not packet.copy and self.link is not None and not self.link.can_accept(route):
             self.reset_flow(packet, "link_backlog")
@@ -367,8 +406,8 @@
             return None
         weights = [weight for weight, _ in usable]
         candidates = self.random.choices([c for _, c in usable], weights)[0]
-        is_silent, is_cut = self.failures.is_in_silent_data_centre, self.reachability.is_cut
-        reached = [u for u in candidates if not (is_cut(u) or is_silent(u, now))]
+        is_silent = self.failures.is_in_silent_data_centre
+        reached = [u for u in candidates if not (self.is_lost(u, now) or is_silent(u, now))]
         candidates = exclude_unresponsive(reached or candidates, may_probe, now)
         if len(tried) < MAX_NEAR_ATTEMPTS:
             candidates = self.locality.select_near(candidates, self.count_instances(now), now)
@@ -465,7 +504,7 @@
         for data_centre in self.reachability.tick(now):
             self.observe("data_centre_cut", data_centre=data_centre)
         self.find_silent_data_centres(now)
-        self.reset_flows_cut_off(now)
+        self.reset_lost_flows(now)
         self.reset_unresponsive_flows(now)
         self.reset_flows_of_replaced_upstreams(now)
         self.evict_oldest(
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -112,6 +112,18 @@
         "No control replica and no upstream of a data centre answers this instance any more.",
         {"data_centre": str},
     ),
+    Event(
+        "unreachable",
+        WARNING,
+        "Control replicas of this data centre report further upstreams as unreachable.",
+        {"upstreams": int},
+    ),
+    Event(
+        "upstream_check",
+        WARNING,
+        "A control replica has found an upstream unreachable, or reachable again.",
+        {"cookie": int, "reachable": bool},
+    ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
     Event(
         "ready",
--- a/lycheevalve/logs/timeline.py
+++ b/lycheevalve/logs/timeline.py
@@ -47,7 +47,7 @@
     "upstream_gone": "the upstream deregistered, or another incarnation has its address",
     "upstream_silent": "its upstream did not answer while another one did",
     "upstream_replaced": "another incarnation has the upstream's address; the flow was idle",
-    "data_centre_cut": "its upstream's data centre was cut off from the instance",
+    "upstream_cut_off": "its upstream or the whole data centre of that was cut off",
     "left_silent": "its upstream was unresponsive, the flow idle or its requests idempotent",
 }
 
--- a/lycheevalve/schema/lookups.py
+++ b/lycheevalve/schema/lookups.py
@@ -15,6 +15,9 @@
 the targets. A target is its cookie, ip and port, its slots, 1 if it is in the sender's data
 centre, the length of its name (1 byte each) and the name.
 
+A check asks a replica to check the upstream of a cookie: the prefix and the cookie. It has
+no answer.
+
 A table has all targets that a replica knows, and is stored on its disk: the prefix and the
 targets.
 
@@ -27,7 +30,7 @@
 PREFIX = struct.Struct(">BBBB")
 MAGIC = 0x4C
 VERSION = 1
-LOOKUP, ANSWER, TABLE = 1, 2, 3
+LOOKUP, ANSWER, TABLE, CHECK = 1, 2, 3, 4
 NONCE = struct.Struct(">Q")
 COUNTS = struct.Struct(">BBB")
 COOKIE = struct.Struct(">I")
@@ -179,6 +182,24 @@
     return Answer(nonce, revision, targets, candidates)
 
 
+def encode_check(key, cookie):
+    """Return the signed datagram that asks for a check of an upstream."""
+    return sign(key, PREFIX.pack(MAGIC, VERSION, CHECK, 0) + COOKIE.pack(cookie))
+
+
+def is_check(datagram):
+    """Return whether a datagram claims to be a check."""
+    return datagram[: PREFIX.size] == PREFIX.pack(MAGIC, VERSION, CHECK, 0)
+
+
+def decode_check(key, datagram):
+    """Return the cookie in a check; raise ValueError if it is not a valid one."""
+    body = verify(key, datagram, CHECK)
+    if len(body) != COOKIE.size:
+        raise ValueError(f"a check of {len(body)} bytes instead of {COOKIE.size}")
+    return COOKIE.unpack(body)[0]
+
+
 def encode_table(key, targets):
     """Return Targets as a signed table."""
     prefix = PREFIX.pack(MAGIC, VERSION, TABLE, 0)
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -407,6 +407,9 @@
   // One more than the number of the evacuations that the subscriber applies, so that 0 stands
   // for a subscriber that does not know them.
   11: i64 evacuations_applied
+  // One more than the last `unreachable_number` of the polled source; 0 stands for a
+  // subscriber that does not use it.
+  12: i64 unreachable_known
 }
 
 // Update of configuration, upstreams and control replicas, sent by a control replica.
@@ -430,6 +433,11 @@
   // How many entry instances of the sender's data centre poll it; to an entry instance, how
   // many poll the replicas of that data centre. 0 from earlier versions.
   13: i32 near_instances
+  // The cookies of upstreams that the sender cannot reach; to an entry instance, those that
+  // a control replica of the sender's data centre cannot reach.
+  14: list<i64> unreachable
+  // Counts the changes of `unreachable`.
+  15: i64 unreachable_number
 }
 
 struct ReadRequest {
--- a/lycheevalve/tests/fakes/control_cluster.py
+++ b/lycheevalve/tests/fakes/control_cluster.py
@@ -43,6 +43,8 @@
         # Reply of an announcement -> time of its acknowledgement, and the answer.
         self.acknowledged = {}
         self.acknowledgements = {}
+        # The addresses (ip, port) of upstreams that accept no connection.
+        self.dark = set()
         self.seeds = [f"10.0.0.{number}:7000" for number in range(1, controls + 1)]
         self.entries = [f"10.0.1.{number}:7000" for number in range(1, entries + 1)]
         for address in self.seeds:
@@ -73,6 +75,7 @@
             forward=lambda upstream, cookie, packet: self.sent.append((upstream, packet)),
             reset=lambda packet: self.sent.append((None, packet)),
             observe=lambda name, **details: self.events.append((address, name, details)),
+            request_check=self.request_check,
         )
         entry.subscriptions.set_seeds(self.seeds, self.now)
         self.set_process(address, entry)
@@ -104,8 +107,20 @@
             self.deliver_requests(address)
         for address in self.seeds:
             if address in self.running:
+                self.run_checks(self.running[address])
                 self.deliver_answers(address)
 
+    def request_check(self, address, cookie):
+        """Deliver an instance's request for a check of an upstream."""
+        if address in self.running:
+            self.running[address].request_check(cookie, self.now)
+
+    def run_checks(self, control):
+        """Finish the checks that a control replica has queued."""
+        queued, control.checks.queue = control.checks.queue, []
+        for cookie, address in queued:
+            control.handle_check_result(cookie, address not in self.dark, self.now)
+
     def connect(self, address, source):
         """Open a connection to a source, and drop one whose answer is overdue."""
         pair = (address, source)
