Part the cookie router: choice of an upstream, lost upstreams, resets

The choice of an upstream for a new flow, what is known of upstreams that packets do not reach, and which open flows are reset stand in modules of their own, each with the load that it answers; the reasons of resets are a table. Behaviour is as before, but flows on lost upstreams are found by one function only: resets for own evidence no longer consider them. Mutants and ablations for the new decisions; one older mutant named a line that had moved, and is mended.

--- a/bench/mutations/ablations.py
+++ b/bench/mutations/ablations.py
@@ -75,14 +75,32 @@
     ),
     Ablation(
         "resets-on-failed-upstreams",
-        "flows/cookie_routing.py",
-        "if self.is_failed(u, now)]",
+        "flows/flow_resets.py",
+        "if is_failed(router, u, now)]",
         "if False]",
     ),
     Ablation(
         "failures-in-the-choice",
-        "flows/cookie_routing.py",
+        "flows/upstream_choice.py",
         "failure_factor = 2.0 ** decayed_failure_count(upstream, now)",
         "failure_factor = 1.0",
     ),
+    Ablation(
+        "probes-of-data-centres",
+        "flows/lost_upstreams.py",
+        "        self.reachability.handle_silence(upstream, now)\n",
+        "",
+    ),
+    Ablation(
+        "checks-of-upstreams",
+        "entry.py",
+        "            self.request_check(address, upstream.cookie)",
+        "            pass",
+    ),
+    Ablation(
+        "near-while-there-is-room",
+        "flows/locality.py",
+        "return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams",
+        "return upstreams",
+    ),
 )
--- a/bench/mutations/flows.py
+++ b/bench/mutations/flows.py
@@ -145,8 +145,8 @@
     ),
     Mutant(
         "cookies: flows on unresponsive upstreams are not reset",
-        "flows/cookie_routing.py",
-        "        self.reset_unresponsive_flows(now)\n",
+        "flows/flow_resets.py",
+        '    "left_silent": find_unresponsive_flows,\n',
         "",
         "test_passive_health.py::TestUnresponsiveUpstream",
     ),
@@ -173,9 +173,9 @@
     ),
     Mutant(
         "health: flows that may have moved to another instance are reset",
-        "flows/cookie_routing.py",
-        "if packet is None or flow.last_packet_at < self.rebalanced_at:",
-        "if packet is None:",
+        "flows/flow_resets.py",
+        "if flow.last_packet_at >= router.rebalanced_at",
+        "if True",
         "test_passive_health.py::TestUnresponsiveUpstream",
     ),
     Mutant(
@@ -215,9 +215,9 @@
     ),
     Mutant(
         "health: idle flows on replaced upstreams are kept",
-        "flows/cookie_routing.py",
-        "        self.reset_flows_of_replaced_upstreams(now)\n        self.evict_oldest(",
-        "        self.evict_oldest(",
+        "flows/flow_resets.py",
+        '    "upstream_replaced": find_replaced_flows,\n',
+        "",
         "test_passive_health.py::TestReplacedUpstream",
     ),
 )
--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -5,6 +5,9 @@
 EVACUATIONS = "test_evacuations.py"
 EVIDENCE = "test_failure_evidence.py"
 SCHEDULER = "test_link_scheduler.py"
+CHECKS = "test_upstream_checks.py"
+LOCALITY = "test_locality.py"
+REACHABILITY = "test_reachability.py"
 LOAD_MUTANTS = (
     Mutant(
         "load: evacuated upstreams get new flows",
@@ -29,9 +32,9 @@
     ),
     Mutant(
         "load: cold upstreams get new flows",
-        "flows/cookie_routing.py",
-        "if not self.upstreams.is_warming_up(upstream, now, report_seconds)",
-        "if True",
+        "flows/upstreams.py",
+        "if not self.is_warming_up(u, now, report_seconds)]",
+        "if True]",
         f"{EVACUATIONS}::TestColdUpstreams",
     ),
     Mutant(
@@ -90,4 +93,81 @@
         "                continue",
         f"{SCHEDULER}::TestFairness",
     ),
+    Mutant(
+        "load: a dead replica suffices for a cut",
+        "flows/reachability.py",
+        "            if upstreams.get(name) and count >= MIN_WITNESSES",
+        "            if count",
+        f"{REACHABILITY}::TestOtherFailures",
+    ),
+    Mutant(
+        "load: answers of upstreams do not refute a cut",
+        "flows/reachability.py",
+        'if answered_at.get(name, float("-inf")) < self.started_at',
+        "if True",
+        f"{REACHABILITY}::TestOtherFailures",
+    ),
+    Mutant(
+        "load: dead replicas everywhere are taken for cuts",
+        "flows/reachability.py",
+        "        if not any(r.answered_at >= self.started_at for r in self.replicas.values()):",
+        "        if False:",
+        f"{REACHABILITY}::TestOtherFailures",
+    ),
+    Mutant(
+        "load: the time of a pause counts as silence",
+        "flows/reachability.py",
+        "        if is_late or now - self.probed_at > LATE_TICK_SECONDS:",
+        "        if False:",
+        f"{REACHABILITY}::TestOtherFailures",
+    ),
+    Mutant(
+        "load: flows across a cut are kept",
+        "flows/flow_resets.py",
+        '    "upstream_cut_off": find_lost_flows,\n',
+        "",
+        f"{REACHABILITY}::TestFlowsAcrossTheCut",
+    ),
+    Mutant(
+        "load: idle flows push new ones into other data centres",
+        "flows/locality.py",
+        "return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams",
+        "return upstreams",
+        f"{LOCALITY}::TestLongFlows",
+    ),
+    Mutant(
+        "load: a full data centre keeps its flows",
+        "flows/locality.py",
+        "return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams",
+        "return near",
+        f"{LOCALITY}::TestSelection",
+    ),
+    Mutant(
+        "load: findings of a replica reach its own subscribers only",
+        "control.py",
+        "                self.checks.adopt(sender, message.unreachable or ())",
+        "                pass",
+        f"{CHECKS}::TestDataCentre",
+    ),
+    Mutant(
+        "load: replicas confirm each other's findings",
+        "coordination/feeds.py",
+        "else self.checks.list_found()",
+        "else self.checks.list_unreachable()",
+        f"{CHECKS}::TestDataCentre",
+    ),
+    Mutant(
+        "load: an upstream that answers here counts as lost",
+        "flows/lost_upstreams.py",
+        "        return upstream.answered_at < max(since, now - HEALTHY_ANSWER_SECONDS)",
+        "        return True",
+        f"{CHECKS}::TestDataCentre",
+    ),
+    Mutant(
+        "load: an unreachable upstream is checked once",
+        "coordination/upstream_checks.py",
+        "                self.start(cookie, now)",
+        "                pass",
+        f"{CHECKS}::TestDataCentre",
+    ),
 )
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -19,6 +19,7 @@
 from lycheevalve.flows.front_doors import UNKNOWN_ROUTE
 from lycheevalve.flows.isolation import has_local_capacity, reaches_other_data_centres
 from lycheevalve.flows.link_scheduler import build_scheduler
+from lycheevalve.flows.lost_upstreams import LostUpstreams
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.reports.latencies import Latencies
 from lycheevalve.schema.generated import messages
@@ -99,12 +100,16 @@
             lease_time=self.subscriptions.lease_time,
             data_centre=self.data_centre,
             count_instances=self.subscriptions.count_instances,
-            report_silence=self.report_silence,
+            lost=LostUpstreams(
+                self.upstreams,
+                self.data_centre,
+                self.report_silence,
+                self.list_replicas,
+                self.probe,
+            ),
             heartbeat_seconds=self.heartbeat_seconds,
         )
-        self.reachability = self.cookie_router.reachability = (
-            self.cookie_router.make_reachability(self.list_replicas, self.probe)
-        )
+        self.reachability = self.cookie_router.lost.reachability
         self.dissemination = Dissemination(
             send=self.send_fetch,
             neighbours=lambda: list(self.subscriptions.sources),
--- a/lycheevalve/flows/cookie_routing.py
+++ b/lycheevalve/flows/cookie_routing.py
@@ -13,42 +13,27 @@
 import attrs
 
 from lycheevalve.flows.cookies import CookieTable
-from lycheevalve.flows.costs import estimate_cost
 from lycheevalve.flows.failure_evidence import FailureDetector, record_silence
+from lycheevalve.flows.flow_resets import RESETS, should_reset
 from lycheevalve.flows.front_doors import UNKNOWN_ROUTE, FrontDoorRoute
 from lycheevalve.flows.held_packets import hold_packet, retry_packets
-from lycheevalve.flows.load import decayed_failure_count
 from lycheevalve.flows.locality import Locality
+from lycheevalve.flows.lost_upstreams import LostUpstreams
 from lycheevalve.flows.passive_health import (
     ANSWERED,
-    HEALTHY_ANSWER_SECONDS,
     MAX_RETRANSMIT_INTERVAL_SECONDS,
     MIN_RETRANSMIT_INTERVAL_SECONDS,
     RETRANSMITTED,
     FlowRecord,
     advances_acknowledgement,
-    exclude_unresponsive,
-    is_healthy,
-    is_unresponsive,
-    is_unresponsive_now,
     record_answer,
     record_retransmission,
     update_from_packet,
 )
-from lycheevalve.flows.reachability import Reachability
+from lycheevalve.flows.upstream_choice import UpstreamChoice
 
 # Retransmissions of an opening packet arrive within this time of each other.
 OPENING_EXPIRY_SECONDS = 2.0
-# An instance without a packet for this long may be out of the fabric's rotation, with
-# its flows moved to another instance.
-OUT_OF_ROTATION_SECONDS = 0.3
-# An upstream that is reported as unreachable has not answered for at least this long: from
-# a request to its first copy, and during the check.
-UNREACHABLE_REPORT_SECONDS = 0.25
-# Of the copies of an opening packet these go to near upstreams; all those may have failed.
-MAX_NEAR_ATTEMPTS = 2
-# A request to an upstream that is cut off has been lost if it has no answer for this long.
-LOST_REQUEST_SECONDS = 0.1
 # How many flows are tracked, and for how long after their last packet.
 MAX_TRACKED_FLOWS = 65_536
 FLOW_IDLE_TIMEOUT_SECONDS = 15.0
@@ -76,8 +61,6 @@
     data_centre: str = ""
     # `count_instances(now)`: how many instances the data centre has, 0 if it is not known.
     count_instances: object = lambda now: 0
-    # `report_silence(upstream, now)`: an upstream has left a caller without an answer.
-    report_silence: object = lambda upstream, now: None
     # The LinkScheduler before the own link, or None without one.
     link: object = None
     # How often upstreams announce themselves.
@@ -92,24 +75,33 @@
     # See held_packets.py.
     held: dict = attrs.field(factory=dict)
     failures: FailureDetector = attrs.field(factory=FailureDetector)
-    reachability: Reachability = attrs.field(
-        default=attrs.Factory(lambda self: self.make_reachability(), takes_self=True)
+    # What is known of upstreams that packets do not reach, and the choice for new flows.
+    lost: LostUpstreams = attrs.field(
+        default=attrs.Factory(
+            lambda self: LostUpstreams(self.upstreams, self.data_centre), takes_self=True
+        )
     )
     locality: Locality = attrs.field(
         default=attrs.Factory(lambda self: Locality(self.data_centre), takes_self=True)
     )
-    # Since when control replicas report upstreams as unreachable, by cookie.
-    unreachable_since: dict[int, float] = attrs.field(factory=dict)
+    choice: UpstreamChoice = attrs.field(init=False)
     # When the last packet arrived, and when the fabric last moved flows between instances.
     last_packet_at: float = float("-inf")
     rebalanced_at: float = float("-inf")
     # When a caller last retransmitted.
     retransmitted_at: float = float("-inf")
 
-    def make_reachability(self, list_replicas=dict, probe=lambda address: None):
-        """Return a Reachability of this router's upstreams; see its class."""
-        return Reachability(
-            self.data_centre, list_replicas, lambda: self.upstreams.by_index.values(), probe
+    def __attrs_post_init__(self):
+        self.choice = UpstreamChoice(
+            self.upstreams,
+            self.random,
+            self.data_centre,
+            self.failures,
+            self.lost,
+            self.locality,
+            self.lease_time,
+            self.count_instances,
+            self.heartbeat_seconds,
         )
 
     def update_upstream(self, registration, now):
@@ -182,7 +174,7 @@
         self.report_observation(observation, flow, packet)
         if packet.ends:
             self.untrack_flow(packet.flow_key)
-        elif packet.size and self.should_reset(route, upstream, observation, now):
+        elif packet.size and should_reset(self, route, upstream, observation, now):
             self.reset_flow(packet, "upstream_silent", upstream)
             return True
         self.forward(upstream, packet.cookie, packet)
@@ -217,54 +209,20 @@
         elif observation == RETRANSMITTED:
             self.retransmitted_at = flow.last_packet_at
             self.observe("repeated", packet=packet, upstream=upstream, request=flow.request)
-            self.handle_silence(upstream, flow.last_packet_at)
-
-    def handle_silence(self, upstream, now):
-        """Have a silent upstream and its data centre checked."""
-        self.reachability.handle_silence(upstream, now)
-        if not self.is_lost(upstream, now):
-            self.report_silence(upstream, now)
+            self.lost.handle_silence(upstream, flow.last_packet_at)
 
     def set_unreachable(self, cookies, now):
         """Apply the cookies of unreachable upstreams; return whether there are new ones."""
-        new = cookies - self.unreachable_since.keys()
-        since = now - UNREACHABLE_REPORT_SECONDS
-        self.unreachable_since = {c: self.unreachable_since.get(c, since) for c in cookies}
-        if new:
-            self.reset_lost_flows(now)
-        return bool(new)
-
-    def is_lost(self, upstream, now):
-        """Return whether packets to an upstream are lost: it or its data centre is cut off."""
-        if self.reachability.is_cut(upstream):
-            return True
-        since = self.unreachable_since.get(upstream.cookie)
-        if since is None:
-            return False
-        # An upstream that answers here is not lost: the replica may be the one cut off.
-        return upstream.answered_at < max(since, now - HEALTHY_ANSWER_SECONDS)
-
-    def should_reset(self, route, upstream, observation, now):
-        """
-        Return whether to reset a flow so that its caller opens one on a healthy upstream.
-
-        Only a flow that is itself unanswered is reset: one that has just moved here from
-        another instance brings no evidence, and what was seen here may be out of date. Where
-        packets are known to be lost, the first one suffices.
-        """
-        if self.is_lost(upstream, now):
-            return route.idempotent and self.has_usable_alternative(upstream, now)
-        if observation != RETRANSMITTED:
-            return False
-        if not (route.idempotent and self.is_failed(upstream, now)):
-            return False
-        return self.has_alternative(upstream, now)
+        is_new = self.lost.set_unreachable(cookies, now)
+        if is_new:
+            self.reset_failed_flows(now)
+        return is_new
 
-    def is_failed(self, upstream, now):
-        """Return whether an upstream has failed beyond doubt, so that flows may be reset."""
-        if self.is_lost(upstream, now) or self.failures.is_cut_off(upstream, now):
-            return True
-        return is_unresponsive_now(upstream, now) and self.failures.has_failed(upstream, now)
+    def reset_failed_flows(self, now):
+        """Reset the flows whose callers are better served by another upstream."""
+        for reason, find in RESETS.items():
+            for packet, upstream in find(self, now):
+                self.reset_flow(packet, reason, upstream)
 
     def find_silent_data_centres(self, now):
         """Find the data centres that are silent, while callers retransmit."""
@@ -275,75 +233,6 @@
         ):
             self.observe("data_centre_silent", data_centre=name)
 
-    def has_alternative(self, upstream, now):
-        """Return whether another upstream of the service is healthy."""
-        others = self.candidates(upstream.service, now)
-        return any(is_healthy(other, now) and not self.is_lost(other, now) for other in others)
-
-    def has_usable_alternative(self, upstream, now):
-        """Return whether another upstream of the service is not known to have failed."""
-        others = self.candidates(upstream.service, now)
-        return any(not (is_unresponsive(u, now) or self.is_lost(u, now)) for u in others)
-
-    def reset_lost_flows(self, now):
-        """
-        Reset the flows on upstreams that are cut off, where their callers lose nothing.
-
-        These are idle flows, before their callers' next requests, and those whose idempotent
-        request has been lost. A flow that has moved to another instance is cut off there too.
-        """
-        if not (self.reachability.cut_since or self.unreachable_since):
-            return
-        lost = [u for u in self.upstreams.by_index.values() if u.flows and self.is_lost(u, now)]
-        replaceable = [u for u in lost if self.has_usable_alternative(u, now)]
-        if not replaceable:
-            return
-        for flow in [flow for flow in self.flows.values() if flow.upstream in replaceable]:
-            packet = flow.last_ack_packet
-            if packet is None or flow.opening:
-                continue
-            is_lost = now - flow.sent_at >= LOST_REQUEST_SECONDS and self.is_idempotent(packet)
-            if flow.idle or is_lost:
-                self.reset_flow(packet, "upstream_cut_off", flow.upstream)
-
-    def reset_unresponsive_flows(self, now):
-        """
-        Reset flows on unresponsive upstreams if their callers lose nothing.
-
-        These are idle flows and those with idempotent requests: the caller opens
-        another flow instead of waiting for a timeout. A flow that may have moved to
-        another instance is not reset.
-        """
-        if now - self.last_packet_at > OUT_OF_ROTATION_SECONDS:
-            return
-        failed = [u for u in self.upstreams.by_index.values() if self.is_failed(u, now)]
-        replaceable = [u for u in failed if u.flows and self.has_alternative(u, now)]
-        if not replaceable:
-            return
-        for flow in [flow for flow in self.flows.values() if flow.upstream in replaceable]:
-            packet = flow.last_ack_packet
-            if packet is None or flow.last_packet_at < self.rebalanced_at:
-                continue
-            if flow.idle or self.is_idempotent(packet):
-                self.reset_flow(packet, "left_silent", flow.upstream)
-
-    def reset_flows_of_replaced_upstreams(self, now):
-        """
-        Reset idle flows on upstreams that have ended, before their callers' next requests.
-
-        Such a request would get no answer, and a caller must not repeat one that isn't
-        idempotent. Flows that may have moved to another instance are reset too: their
-        upstream answers through no instance. An expired lease does not suffice: the
-        upstream may announce itself to a replica that is cut off.
-        """
-        replaced = [u for u in self.upstreams.by_index.values() if u.flows and u.replaced]
-        replaceable = [u for u in replaced if self.candidates(u.service, now)]
-        if not replaceable:
-            return
-        for flow in [flow for flow in self.flows.values() if flow.upstream in replaceable]:
-            if flow.idle and flow.last_ack_packet is not None:
-                self.reset_flow(flow.last_ack_packet, "upstream_replaced", flow.upstream)
-
     def is_idempotent(self, packet):
         """Return whether requests to the packet's front door are idempotent."""
         return (self.routes or {}).get(packet.front_door, UNKNOWN_ROUTE).idempotent
@@ -377,15 +266,15 @@
         if packet.copy and now - at >= MIN_RETRANSMIT_INTERVAL_SECONDS:
             record_retransmission(tried[-1], now)
             record_silence(tried[-1], packet.flow_key, at, now, acknowledged_at_once=True)
-            self.handle_silence(tried[-1], now)
+            self.lost.handle_silence(tried[-1], now)
             self.retransmitted_at = now
         if not packet.copy and self.link is not None and not self.link.can_accept(route):
             self.reset_flow(packet, "link_backlog")
             return True
-        upstream = self.choose_upstream(route, tried, packet.copy == 0, now)
+        upstream = self.choice.choose(route, tried, packet.copy == 0, now)
         if upstream is None:
             if self.is_synced(now):
-                self.reset_flow(packet, self.find_refusal_reason(route, now))
+                self.reset_flow(packet, self.choice.find_refusal_reason(route, now))
                 return True
             return False
         self.openings[packet.flow_key] = (now, (*tried, upstream))
@@ -395,28 +284,6 @@
         self.forward(upstream, upstream.cookie, packet)
         return True
 
-    def choose_upstream(self, route, tried, may_probe, now):
-        """Return the least loaded upstream of a service chosen by weight, or None."""
-        usable = [
-            (weight, candidates)
-            for service, weight in route.backends
-            if weight > 0 and (candidates := self.find_warm(route, service, now))
-        ]
-        if not usable:
-            return None
-        weights = [weight for weight, _ in usable]
-        candidates = self.random.choices([c for _, c in usable], weights)[0]
-        is_silent = self.failures.is_in_silent_data_centre
-        reached = [u for u in candidates if not (self.is_lost(u, now) or is_silent(u, now))]
-        candidates = exclude_unresponsive(reached or candidates, may_probe, now)
-        if len(tried) < MAX_NEAR_ATTEMPTS:
-            candidates = self.locality.select_near(candidates, self.count_instances(now), now)
-        untried = [upstream for upstream in candidates if upstream not in tried]
-        chosen = min(untried or candidates, key=lambda u: self.cost(u, now))
-        if is_unresponsive(chosen, now):
-            chosen.probed_at = now
-        return chosen
-
     def record_departure(self, packet, now):
         """Record when a packet that waited for the own link has left."""
         if packet.opens:
@@ -427,41 +294,6 @@
         if flow is not None and packet.size:
             flow.sent_at = now
 
-    def find_warm(self, route, service, now):
-        """
-        Return the upstreams of a service that may get new flows and have warmed up.
-
-        A cold upstream bears few requests of all instances together, and no instance has
-        the number of the others. The warm ones carry the load until it is warm.
-        """
-        candidates = self.candidates(service, now)
-        if service not in route.warming_services:
-            return candidates
-        return self.upstreams.exclude_warming_up(candidates, now, self.heartbeat_seconds)
-
-    def find_refusal_reason(self, route, now):
-        """Return why no upstream of a route may get a new flow."""
-        services = [service for service, weight in route.backends if weight > 0]
-        if any(self.candidates(service, now) for service in services):
-            return "warming_up"
-        upstreams = [u for s in services for u in self.upstreams.by_service.get(s, ())]
-        lease_time = self.lease_time(now)
-        evacuated = any(u.evacuated and lease_time < u.expires_at for u in upstreams)
-        return "evacuated" if evacuated else "no_upstream"
-
-    def candidates(self, service, now):
-        """Return the upstreams of a service that may get new flows."""
-        usable = self.upstreams.usable(service, self.lease_time(now))
-        return [upstream for upstream in usable if upstream.cookie]
-
-    def cost(self, upstream, now):
-        """Return an upstream's load as seen from here, with a random tie-break; lowest wins."""
-        slots = max(1, upstream.registration.slots) * upstream.announced_share(now)
-        is_local = upstream.registration.data_centre == self.data_centre
-        failure_factor = 2.0 ** decayed_failure_count(upstream, now)
-        cost = estimate_cost(upstream.flows, slots, is_local, failure_factor)
-        return cost, self.random.random()
-
     # Held packets.
 
     def hold(self, packet, now):
@@ -494,19 +326,17 @@
 
     def has_pending_work(self, now):
         """Return whether packets are held or callers retransmit, so that ticks are urgent."""
-        if self.held or self.reachability.is_active:
+        if self.held or self.lost.reachability.is_active:
             return True
         return now - self.retransmitted_at < MAX_RETRANSMIT_INTERVAL_SECONDS
 
     def tick(self, now):
         """Retry held packets, reset flows on unresponsive upstreams, evict idle records."""
         self.retry_held(now)
-        for data_centre in self.reachability.tick(now):
+        for data_centre in self.lost.reachability.tick(now):
             self.observe("data_centre_cut", data_centre=data_centre)
         self.find_silent_data_centres(now)
-        self.reset_lost_flows(now)
-        self.reset_unresponsive_flows(now)
-        self.reset_flows_of_replaced_upstreams(now)
+        self.reset_failed_flows(now)
         self.evict_oldest(
             self.openings, lambda opening: now - opening[0] > OPENING_EXPIRY_SECONDS
         )
@@ -534,7 +364,7 @@
         self.openings.clear()
         self.failures.clear()
         self.locality.clear()
-        self.reachability.clear()
+        self.lost.reachability.clear()
         for upstream in self.upstreams.by_index.values():
             upstream.flows = upstream.unanswered = 0
             upstream.silences.clear()
--- a/lycheevalve/tests/test_locality.py
+++ b/lycheevalve/tests/test_locality.py
@@ -138,8 +138,8 @@
         """Return the data centres of flows opened while few requests are in flight."""
         entry = FakeEntry()
         router = entry.cookie_router
-        router.data_centre = router.locality.data_centre = "dc1"
-        router.count_instances = lambda now: INSTANCES
+        router.choice.data_centre = router.locality.data_centre = "dc1"
+        router.choice.count_instances = lambda now: INSTANCES
         entry.update_upstreams(*build_registrations())
         entry.configure()
         observe_answers(router.locality, in_flight=0.05)
--- a/lycheevalve/tests/test_passive_health.py
+++ b/lycheevalve/tests/test_passive_health.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from lycheevalve.flows import cookie_routing, passive_health
+from lycheevalve.flows import flow_resets, passive_health
 from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.tests.fakes.entry import (
     CALLER_WINDOW_BYTES,
@@ -168,7 +168,7 @@
     def test_instance_out_of_rotation_resets_nothing(self):
         scenario, _ = self.build_idle_flow_scenario()
         self.acknowledge_other(scenario, 0.75)
-        scenario.entry.cookie_router.tick(0.75 + cookie_routing.OUT_OF_ROTATION_SECONDS + 0.05)
+        scenario.entry.cookie_router.tick(0.75 + flow_resets.OUT_OF_ROTATION_SECONDS + 0.05)
         assert not scenario.entry.resets
 
     def test_flow_on_formerly_unresponsive_upstream_is_forwarded(self):
--- a/lycheevalve/tests/test_reachability.py
+++ b/lycheevalve/tests/test_reachability.py
@@ -40,7 +40,7 @@
         self.now = 0.0
         self.entry = FakeEntry()
         self.router = self.entry.cookie_router
-        self.router.data_centre = OWN
+        self.router.data_centre = self.router.choice.data_centre = OWN
         self.replicas = {
             f"10.{number}.0.{replica}:1": name
             for number, name in enumerate(DATA_CENTRES, start=1)
@@ -64,7 +64,7 @@
             self.upstreams[upstream.registration.data_centre].append(upstream)
         self.cut, self.dead, self.dark = set(), set(), set()
         self.found, self.probes = [], []
-        self.reachability = self.router.reachability = Reachability(
+        self.reachability = self.router.lost.reachability = Reachability(
             OWN,
             lambda: dict(self.replicas),
             lambda: self.router.upstreams.by_index.values(),
@@ -90,6 +90,12 @@
             if name and not self.is_lost(name) and address not in self.dead:
                 self.reachability.handle_answer(address, self.now + ROUND_TRIP_SECONDS)
 
+    def answer_probes(self, name):
+        """Let the replicas of one data centre answer."""
+        for address, data_centre in self.replicas.items():
+            if data_centre == name:
+                self.reachability.handle_answer(address, self.now + ROUND_TRIP_SECONDS)
+
     def tick(self, seconds=TICK_SECONDS):
         """Pass the time of one tick; what was sent before is answered by then."""
         self.deliver()
@@ -233,7 +239,8 @@
         region = Region()
         region.run(0.2)
         region.repeat(region.upstreams["dc2"][0])
-        # The answers arrive while the process does not run.
+        region.answer_probes("dc1")
+        # The other answers arrive while the process does not run.
         region.now += 0.5
         region.found += region.reachability.tick(region.now)
         region.run(0.5)
--- a/lycheevalve/tests/test_upstream_checks.py
+++ b/lycheevalve/tests/test_upstream_checks.py
@@ -216,7 +216,7 @@
         self.open_idle_flow(cluster, entry, b"answered", FRONT_DOOR, 1)
         self.request(cluster, cluster.entries[0], 1)
         cluster.run(1.0)
-        assert cluster.running[entry].cookie_router.unreachable_since
+        assert cluster.running[entry].cookie_router.lost.unreachable_since
         assert self.resets(cluster) <= {b"repeating"}
 
     def test_answers_before_the_failure_do_not_spare_it_for_long(self):
@@ -245,7 +245,7 @@
         assert silent not in [upstream for upstream, _ in cluster.sent[before:]]
         cluster.dark = set()
         cluster.run(RECHECK_INTERVAL_SECONDS + 1.0)
-        assert not logic.cookie_router.is_lost(silent, cluster.now)
+        assert not logic.cookie_router.lost.is_lost(silent, cluster.now)
 
     def test_other_data_centres_judge_for_themselves(self):
         cluster = self.build_cluster()
@@ -258,18 +258,18 @@
         for address in cluster.seeds[:2]:
             assert cluster.running[address].checks.list_unreachable() == []
         for address in cluster.entries:
-            assert cluster.running[address].cookie_router.unreachable_since == {}
+            assert cluster.running[address].cookie_router.lost.unreachable_since == {}
 
     def test_findings_end_with_the_replica(self):
         cluster = self.build_cluster()
         entry = cluster.entries[0]
         cluster.dark = {self.find(cluster, entry, 1).address}
         self.repeat(cluster, entry, 1)
-        assert cluster.running[entry].cookie_router.unreachable_since
+        assert cluster.running[entry].cookie_router.lost.unreachable_since
         for address in cluster.seeds[:2]:
             cluster.stop(address)
         cluster.run(3.0)
-        assert cluster.running[entry].cookie_router.unreachable_since == {}
+        assert cluster.running[entry].cookie_router.lost.unreachable_since == {}
 
 
 class TestFormat:
