Count a failed check only where a service accepts connections; prove upgrades

The soak's upstreams answer callers, but listened to no connection, so each check after a late answer failed, and idle flows on sound upstreams were reset. A service without a listener, or one behind a filter, would be served so as well. Ruled out: the version that runs (the resets came from processes of the current one).

Change: a failed check counts only if another upstream of the service has accepted a connection in the last minute; up to three others are checked for that. In the soak one service accepts connections now, and the other one does not.

--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -170,4 +170,11 @@
         "                pass",
         f"{CHECKS}::TestDataCentre",
     ),
+    Mutant(
+        "load: a failed check suffices",
+        "coordination/upstream_checks.py",
+        "            if self.accepts_connections(self.find_upstream(cookie).service, now)",
+        "",
+        f"{CHECKS}::TestServiceWithoutConnections",
+    ),
 )
--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -33,6 +33,8 @@
             self.replace_upstream,
             self.reload_settings,
         )
+        if len(site.trees) > 1:
+            self.planned_changes = (*self.planned_changes, self.change_version)
         self.faults = (
             self.kill_process,
             self.pause_process,
@@ -119,6 +121,37 @@
             await trio.sleep(4.0)
             self.busy.discard(name)
 
+    async def change_version(self):
+        """Replace the process of a machine by one of another version, forward or back."""
+        name = self.reserve_machine(self.random.choice(("entry", "entry", "control")))
+        if name is None:
+            return
+        machine = self.site.machines[name]
+        trees = [tree for tree in self.site.trees if tree != machine.tree]
+        self.site.send_signal(name, signal.SIGTERM)
+        await self.site.wait_for_exit(name)
+        machine.tree = self.random.choice(trees)
+        self.log(f"{name} runs {describe_tree(machine.tree)}")
+        self.site.start_process(name)
+        await trio.sleep(4.0)
+        self.busy.discard(name)
+
+    async def upgrade_all(self):
+        """Replace the processes of all machines by the current version, one after another."""
+        for name, machine in self.site.machines.items():
+            while name in self.busy:
+                await trio.sleep(0.1)
+            if machine.tree is None:
+                continue
+            self.busy.add(name)
+            self.site.send_signal(name, signal.SIGTERM)
+            await self.site.wait_for_exit(name)
+            machine.tree = None
+            self.log(f"{name} runs {describe_tree(None)}")
+            self.site.start_process(name)
+            await trio.sleep(4.0)
+            self.busy.discard(name)
+
     async def reload_settings(self):
         """Send SIGHUP to all free processes, which then reload their settings."""
         for name in self.site.machines:
@@ -210,3 +243,8 @@
                     self.site.record_fault()
                 nursery.start_soon(event)
                 await trio.sleep(self.random.uniform(0.3, 3.0))
+
+
+def describe_tree(tree):
+    """Return the version in a folder, for the log."""
+    return tree.name if tree is not None else "the current version"
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -34,6 +34,8 @@
 # Maximum time that an upstream waits for its flows to end; the soak's sessions are shorter.
 FLOW_DRAIN_TIMEOUT_SECONDS = 20.0
 MAX_DATAGRAM_BYTES = 2048
+# Services whose upstreams accept connections; those of the others answer callers only.
+CONNECTED_SERVICES = ("nightsync",)
 
 
 @attrs.define
@@ -90,10 +92,21 @@
             await self.socket.bind(self.address)
             async with trio.open_nursery() as self.nursery:
                 self.nursery.start_soon(self.send_heartbeats)
+                if self.service in CONNECTED_SERVICES:
+                    self.nursery.start_soon(self.accept_connections)
                 while True:
                     data, _ = await self.socket.recvfrom(MAX_DATAGRAM_BYTES)
                     await self.handle_datagram(data)
 
+    async def accept_connections(self):
+        """Accept connections, which carry health checks, and close them."""
+
+        async def close(stream):
+            await stream.aclose()
+
+        host, port = self.address
+        await trio.serve_tcp(close, port, host=host)
+
     def crash(self):
         """Stop without draining or deregistering."""
         self.cancel_scope.cancel()
--- a/lycheevalve/__init__.py
+++ b/lycheevalve/__init__.py
@@ -1,3 +1,3 @@
 """Layer-4 load balancer and a library of coordination components."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -92,7 +92,7 @@
             ready=True,
         )
         self.evacuations = AppliedEvacuations(self.apply_evacuations)
-        self.checks = UpstreamChecks(self.lookups.cookies.find)
+        self.checks = UpstreamChecks(self.lookups.cookies.find, self.list_serving)
         self.feed = Feed(
             self.incarnation,
             self.upstreams,
@@ -196,11 +196,16 @@
     def handle_check_result(self, cookie, is_reachable, now):
         """Handle the result of a check; subscribers get a changed one at once."""
         before = self.checks.number
-        self.checks.record_result(cookie, is_reachable)
+        self.checks.record_result(cookie, is_reachable, now)
         if self.checks.number != before:
             self.observe("upstream_check", cookie=cookie, reachable=is_reachable)
         self.answer_pending(now)
 
+    def list_serving(self, service):
+        """Return the upstreams of a service with valid leases."""
+        upstreams = self.upstreams.by_service.get(service, ())
+        return [upstream for upstream in upstreams if upstream.is_serving(self.now)]
+
     def continue_checks(self, now):
         """Check unreachable upstreams again."""
         self.checks.tick(self.subscriptions.near_sources(now), now)
--- a/lycheevalve/coordination/upstream_checks.py
+++ b/lycheevalve/coordination/upstream_checks.py
@@ -10,6 +10,10 @@
 if that fails too, it reports the upstream as unreachable to all instances of the data
 centre, which combine that with what they see. It goes on checking until the upstream accepts
 a connection or its lease ends. Other data centres may still reach it, and check themselves.
+
+A service may accept no connections at all, though its upstreams answer callers. So a failed
+check counts only if another upstream of the service has accepted a connection; a few others
+are checked for that.
 """
 
 import attrs
@@ -18,6 +22,10 @@
 CHECK_INTERVAL_SECONDS = 0.3
 # How often an unreachable upstream is checked again.
 RECHECK_INTERVAL_SECONDS = 0.5
+# For how long an accepted connection shows that the upstreams of a service accept some.
+ACCEPTANCE_SECONDS = 60.0
+# How many other upstreams of the service are checked where that is not known.
+COMPARED_UPSTREAMS = 3
 # Limit on checks at a time; an instance asks again when its caller repeats once more.
 MAX_RUNNING_CHECKS = 64
 
@@ -27,14 +35,20 @@
     """
     The checks of one control replica; upstreams are identified by their cookies.
 
-    `find_upstream(cookie)` returns an upstream or None. The owner starts the checks in
-    `queue`, (cookie, address) each, and passes their results to `record_result`.
+    `find_upstream(cookie)` returns an upstream or None, `list_upstreams(service)` those of a
+    service. The owner starts the checks in `queue`, (cookie, address) each, and passes their
+    results to `record_result`.
     """
 
     find_upstream: object
+    list_upstreams: object
     queue: list = attrs.field(factory=list)
     running: set[int] = attrs.field(factory=set)
     checked_at: dict[int, float] = attrs.field(factory=dict)
+    # When an upstream of a service last accepted a connection.
+    accepted_at: dict[str, float] = attrs.field(factory=dict)
+    # The upstreams whose last check failed.
+    failed: set[int] = attrs.field(factory=set)
     # The unreachable upstreams: own findings, and those of the other replicas of this data
     # centre by their addresses.
     found: set[int] = attrs.field(factory=set)
@@ -46,27 +60,61 @@
         """Check an upstream that an instance asks for; return whether a check starts."""
         if now - self.checked_at.get(cookie, float("-inf")) < CHECK_INTERVAL_SECONDS:
             return False
-        return self.start(cookie, now)
+        if not self.start(cookie, now):
+            return False
+        self.compare(self.find_upstream(cookie), now)
+        return True
+
+    def compare(self, upstream, now):
+        """Check other upstreams of a service unless it is known to accept connections."""
+        if self.accepts_connections(upstream.service, now):
+            return
+        others = [u for u in self.list_upstreams(upstream.service) if u is not upstream]
+        for other in sorted(others, key=lambda u: u.reported_at)[-COMPARED_UPSTREAMS:]:
+            self.start(other.cookie, now)
+
+    def accepts_connections(self, service, now):
+        """Return whether an upstream of a service accepted a connection lately."""
+        return now - self.accepted_at.get(service, float("-inf")) < ACCEPTANCE_SECONDS
+
+    @staticmethod
+    def is_ended(upstream, now):
+        """Return whether an upstream is unknown or its lease has ended."""
+        return upstream is None or upstream.expires_at <= now or upstream.has_exited(now)
 
     def start(self, cookie, now):
         """Queue a check unless it runs already; return whether it was queued."""
         upstream = self.find_upstream(cookie)
-        is_ended = upstream is None or upstream.expires_at <= now or upstream.has_exited(now)
-        if is_ended or cookie in self.running or len(self.running) >= MAX_RUNNING_CHECKS:
+        if cookie in self.running or len(self.running) >= MAX_RUNNING_CHECKS:
+            return False
+        if self.is_ended(upstream, now):
             return False
         self.running.add(cookie)
         self.checked_at[cookie] = now
         self.queue.append((cookie, upstream.address))
         return True
 
-    def record_result(self, cookie, is_reachable):
+    def record_result(self, cookie, is_reachable, now):
         """Record the result of a check."""
         self.running.discard(cookie)
-        before = self.list_unreachable()
+        upstream = self.find_upstream(cookie)
         if is_reachable:
-            self.found.discard(cookie)
+            self.failed.discard(cookie)
         else:
-            self.found.add(cookie)
+            self.failed.add(cookie)
+        if upstream is not None and is_reachable:
+            self.accepted_at[upstream.service] = now
+        self.conclude(now)
+
+    def conclude(self, now):
+        """Update which upstreams are unreachable."""
+        before = self.list_unreachable()
+        self.failed = {c for c in self.failed if not self.is_ended(self.find_upstream(c), now)}
+        self.found = {
+            cookie
+            for cookie in self.failed
+            if self.accepts_connections(self.find_upstream(cookie).service, now)
+        }
         self.count_change(before)
 
     def adopt(self, source, cookies):
@@ -83,17 +131,15 @@
         """
         before = self.list_unreachable()
         self.reported = {s: cookies for s, cookies in self.reported.items() if s in sources}
-        for cookie in list(self.found):
-            upstream = self.find_upstream(cookie)
-            if upstream is None or upstream.expires_at <= now or upstream.has_exited(now):
-                self.found.discard(cookie)
-            elif now - self.checked_at[cookie] >= RECHECK_INTERVAL_SECONDS:
-                self.start(cookie, now)
         self.count_change(before)
+        self.conclude(now)
+        for cookie in self.found:
+            if now - self.checked_at[cookie] >= RECHECK_INTERVAL_SECONDS:
+                self.start(cookie, now)
         self.checked_at = {
             cookie: at
             for cookie, at in self.checked_at.items()
-            if cookie in self.found or now - at < CHECK_INTERVAL_SECONDS
+            if cookie in self.failed or now - at < CHECK_INTERVAL_SECONDS
         }
 
     def count_change(self, before):
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -166,6 +166,7 @@
         ready = not logic.unready_reason(now)
         revision = logic.dissemination.applied.revision
         reached = len(logic.subscriptions.in_contact(now))
+        cut_off = logic.reachability.cut_since
         return [
             counter(
                 "events", "Events by name and reason.", ("event", "reason"), logic.counters
@@ -180,6 +181,12 @@
                 len(logic.cookie_router.held),
             ),
             gauge("control_replicas_reached", "Control replicas in contact.", reached),
+            gauge("data_centres_cut_off", "Data centres found cut off.", len(cut_off)),
+            gauge(
+                "upstreams_unreachable",
+                "Upstreams that replicas of this data centre report as unreachable.",
+                len(logic.cookie_router.lost.unreachable_since),
+            ),
             counter(
                 "send_failures",
                 "Datagrams that could not be sent.",
--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from lycheevalve import __version__
 from lycheevalve.coordination.membership import PAUSE_THRESHOLD_SECONDS
 from lycheevalve.daemon import events
 from lycheevalve.daemon.links import Links, make_codec_factory, serve_links
@@ -75,7 +76,9 @@
             if self.settings.name in self.settings.replicas:
                 self.start_replica(nursery)
             nursery.start_soon(self.udp_socket.run, self.inbox)
-            record("started", role="instance", address=self.settings.address)
+            record(
+                "started", role="instance", address=self.settings.address, version=__version__
+            )
             task_status.started(self)
             await self.run_instance()
             nursery.cancel_scope.cancel()
--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from lycheevalve import __version__
 from lycheevalve.config.roles import link_address, link_addresses
 from lycheevalve.daemon.events import Received, Reload, Stop
 from lycheevalve.daemon.exposition import make_server
@@ -56,7 +57,9 @@
             if self.settings.metrics:
                 server = make_server(self.settings.metrics, self.list_metrics)
                 await nursery.start(server.run)
-            record("started", role=self.settings.role, address=self.address)
+            record(
+                "started", role=self.settings.role, address=self.address, version=__version__
+            )
             await self.run_events()
             nursery.cancel_scope.cancel()
         record("stopped")
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -266,7 +266,9 @@
     ),
 )
 PROCESS_EVENTS = (
-    Event("started", INFO, "The process started.", {"role": str, "address": str}),
+    Event(
+        "started", INFO, "The process started.", {"role": str, "address": str, "version": str}
+    ),
     Event("leaving", INFO, "The graceful stop started.", {}),
     Event(
         "stopping_early",
