Judge a data centre as isolated only with a lost request and no answer from others

Found by reading the decision: with all distant replicas dead and the own ones alive, every other data centre counted as cut off although no request was outstanding any more, and an answer of an upstream in one of them did not refute the isolation. A test of each; the first one failed before.

--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -103,14 +103,14 @@
     Mutant(
         "load: answers of upstreams do not refute a cut",
         "flows/reachability.py",
-        'if answered_at.get(name, float("-inf")) < self.started_at',
-        "if True",
+        "{n for n, at in last_answers.items() if at >= self.started_at}",
+        "set()",
         f"{REACHABILITY}::TestOtherFailures",
     ),
     Mutant(
         "load: dead replicas everywhere are taken for cuts",
         "flows/reachability.py",
-        "        if not any(r.answered_at >= self.started_at for r in self.replicas.values()):",
+        "        if not answered:",
         "        if False:",
         f"{REACHABILITY}::TestOtherFailures",
     ),
--- a/lycheevalve/flows/reachability.py
+++ b/lycheevalve/flows/reachability.py
@@ -156,44 +156,45 @@
 
     def find_cut(self, now):
         """Return the data centres that are cut off as the round of probes shows it."""
-        silent = self.find_silent_replicas()
-        answering = {r.data_centre for r in self.replicas.values()} - silent.keys() - {""}
-        if not any(r.answered_at >= self.started_at for r in self.replicas.values()):
+        answered = self.find_answered()
+        if not answered:
             return []
-        answered_at = self.find_last_answers()
-        silent = {
-            name: count
-            for name, count in silent.items()
-            if answered_at.get(name, float("-inf")) < self.started_at
-        }
-        upstreams = self.find_silent_upstreams(now)
-        witnesses = {name: count + upstreams.get(name, 0) for name, count in silent.items()}
-        if answering <= {self.data_centre}:
+        last_answers = self.find_last_answers()
+        reached = answered | {n for n, at in last_answers.items() if at >= self.started_at}
+        replicas = self.count_silent_replicas(reached)
+        upstreams = self.count_silent_upstreams(now)
+        witnesses = {n: count + upstreams.get(n, 0) for n, count in replicas.items()}
+        if reached == {self.data_centre}:
             # This data centre is cut off from all others, which are judged together.
-            return list(silent) if sum(witnesses.values()) >= MIN_WITNESSES else []
+            has_silence = any(name in upstreams for name in witnesses)
+            is_certain = has_silence and sum(witnesses.values()) >= MIN_WITNESSES
+            return list(witnesses) if is_certain else []
         return [
             name
             for name, count in witnesses.items()
             if upstreams.get(name) and count >= MIN_WITNESSES
         ]
 
-    def find_silent_replicas(self):
+    def find_answered(self):
+        """Return the data centres whose replicas have answered in this round."""
+        return {
+            r.data_centre for r in self.replicas.values() if r.answered_at >= self.started_at
+        }
+
+    def count_silent_replicas(self, reached):
         """
-        Return the number of silent replicas of each data centre without an answering one.
+        Return the number of silent replicas of each data centre that was not reached.
 
         A replica that has never answered this process may not have started yet.
         """
-        answered = {
-            r.data_centre for r in self.replicas.values() if r.answered_at >= self.started_at
-        }
-        silent = {}
+        counts = {}
         for replica in self.replicas.values():
             name = replica.data_centre
-            if name and name not in answered and replica.answered_at > float("-inf"):
-                silent[name] = silent.get(name, 0) + 1
-        return silent
+            if name and name not in reached and replica.answered_at > float("-inf"):
+                counts[name] = counts.get(name, 0) + 1
+        return counts
 
-    def find_silent_upstreams(self, now):
+    def count_silent_upstreams(self, now):
         """Return the number of upstreams with unanswered requests by data centre."""
         counts = {}
         for upstream in self.list_upstreams():
--- a/lycheevalve/tests/test_reachability.py
+++ b/lycheevalve/tests/test_reachability.py
@@ -246,6 +246,25 @@
         region.run(0.5)
         assert region.found == []
 
+    def test_distant_replicas_are_dead_and_one_data_centre_answers_callers(self):
+        region = Region()
+        distant = ("dc2", "dc3", "dc4")
+        region.dead = {a for a, name in region.replicas.items() if name in distant}
+        region.repeat(region.upstreams["dc3"][0])
+        region.answer(region.upstreams["dc3"][0])
+        region.run(0.1)
+        region.answer(region.upstreams["dc2"][0])
+        region.run(0.3)
+        assert region.found == []
+
+    def test_all_distant_replicas_are_dead_while_no_request_is_lost(self):
+        region = Region()
+        region.dead = {a for a, name in region.replicas.items() if name != OWN}
+        region.repeat(region.upstreams["dc3"][0])
+        region.upstreams["dc3"][0].silences.clear()
+        region.run(0.5)
+        assert region.found == []
+
     def test_silence_of_long_ago(self):
         region = Region()
         region.upstreams["dc2"][1].silences[b"old"] = Silence(-9.0, -8.0)
