--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -348,6 +348,12 @@
         self.world.lose_next = True
         self.world.lost_at = self.world.now
 
+    @rule(number=st.integers(0, 40))
+    def move_flow(self, number):
+        """Let the fabric send a flow's packets to another instance, or here again."""
+        caller = self.world.callers[number % len(self.world.callers)]
+        caller.moved = not caller.moved
+
     @rule(seconds=st.sampled_from((0.1, 0.3, 0.7, 0.95)))
     def pause(self, seconds):
         self.world.paused_until = self.world.now + seconds
