Keep a data centre in the rotation while it has room for its own callers

Change: a data centre that is cut off has capacity if the requests of its callers occupy at most half of its slots, as measured for the placement near it; only where that is not known or exceeded, its share of all slots decides as before. The test failed before.

--- a/bench/mutations/ablations.py
+++ b/bench/mutations/ablations.py
@@ -100,7 +100,7 @@
     Ablation(
         "near-while-there-is-room",
         "flows/locality.py",
-        "return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams",
+        "return near if self.has_room(near[0].service, slots, instances, now) else upstreams",
         "return upstreams",
     ),
 )
--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -131,14 +131,14 @@
     Mutant(
         "load: idle flows push new ones into other data centres",
         "flows/locality.py",
-        "return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams",
+        "return near if self.has_room(near[0].service, slots, instances, now) else upstreams",
         "return upstreams",
         f"{LOCALITY}::TestLongFlows",
     ),
     Mutant(
         "load: a full data centre keeps its flows",
         "flows/locality.py",
-        "return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams",
+        "return near if self.has_room(near[0].service, slots, instances, now) else upstreams",
         "return near",
         f"{LOCALITY}::TestSelection",
     ),
@@ -177,4 +177,11 @@
         "",
         f"{CHECKS}::TestServiceWithoutConnections",
     ),
+    Mutant(
+        "load: a data centre with room for its callers leaves the rotation",
+        "flows/isolation.py",
+        "        if not has_share and not (slots and has_room(service, slots, now)):",
+        "        if not has_share:",
+        "test_isolation.py::TestReadinessDuringPartition",
+    ),
 )
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -271,7 +271,14 @@
         if reaches_other_data_centres(self.upstreams, self.data_centre, now):
             return False
         services = self.cookie_router.services()
-        return not has_local_capacity(self.upstreams, self.data_centre, services, now)
+        return not has_local_capacity(
+            self.upstreams, self.data_centre, services, now, self.has_room
+        )
+
+    def has_room(self, service, slots, now):
+        """Return whether slots suffice for the requests of this data centre to a service."""
+        instances = self.subscriptions.count_instances(now)
+        return self.cookie_router.locality.has_room(service, slots, instances, now)
 
     # Messages.
 
--- a/lycheevalve/flows/isolation.py
+++ b/lycheevalve/flows/isolation.py
@@ -28,19 +28,27 @@
     )
 
 
-def has_local_capacity(upstreams, data_centre, services, now):
+def has_no_room(service, slots, now):
+    """Return False: the requests of the data centre are not known."""
+    return False
+
+
+def has_local_capacity(upstreams, data_centre, services, now, has_room=has_no_room):
     """
-    Return whether a data centre's own upstreams can carry its share of each service.
+    Return whether a data centre's own upstreams can carry its load of each service.
 
-    The load is assumed to be divided equally among the data centres.
+    They can if they have room for its requests: `has_room(service, slots, now)`. Otherwise
+    the load is assumed to be divided equally among the data centres.
     """
     expected = [u for u in upstreams.by_index.values() if is_expected_to_serve(u, now)]
     data_centres = {u.registration.data_centre for u in expected} | {data_centre}
-    return all(
-        count_local_slots(expected, service, data_centre, now) * len(data_centres)
-        >= MIN_LOCAL_SHARE * count_slots(u for u in expected if u.service == service)
-        for service in services
-    )
+    for service in services:
+        slots = count_local_slots(expected, service, data_centre, now)
+        all_slots = count_slots(u for u in expected if u.service == service)
+        has_share = slots * len(data_centres) >= MIN_LOCAL_SHARE * all_slots
+        if not has_share and not (slots and has_room(service, slots, now)):
+            return False
+    return True
 
 
 def is_expected_to_serve(upstream, now):
--- a/lycheevalve/flows/locality.py
+++ b/lycheevalve/flows/locality.py
@@ -94,10 +94,18 @@
         number of instances of the data centre, 0 if it is not known.
         """
         near = [u for u in upstreams if u.registration.data_centre == self.data_centre]
-        if not instances or len(near) < MIN_NEAR_UPSTREAMS or len(near) == len(upstreams):
-            return upstreams
-        occupied = self.count_occupied(near[0].service, now)
-        if occupied is None:
+        if len(near) < MIN_NEAR_UPSTREAMS or len(near) == len(upstreams):
             return upstreams
         slots = sum(max(1, u.registration.slots) * u.announced_share(now) for u in near)
-        return near if occupied * instances <= MAX_OCCUPANCY * slots else upstreams
+        return near if self.has_room(near[0].service, slots, instances, now) else upstreams
+
+    def has_room(self, service, slots, instances, now):
+        """
+        Return whether `slots` suffice for the requests of this data centre to a service.
+
+        False if that is not known.
+        """
+        occupied = self.count_occupied(service, now)
+        if occupied is None or not instances:
+            return False
+        return occupied * instances <= MAX_OCCUPANCY * slots
--- a/lycheevalve/tests/test_isolation.py
+++ b/lycheevalve/tests/test_isolation.py
@@ -121,6 +121,13 @@
     cluster.run(SOURCE_TIMEOUT_SECONDS + 0.5)
 
 
+def observe_answers(entry, now, in_flight):
+    """Let an instance see the answers of `in_flight` requests of its callers at a time."""
+    for number in range(200):
+        at = now - 2.0 + number * 0.01
+        entry.cookie_router.locality.record_answer(SERVICE, in_flight * 0.01, at)
+
+
 class TestReadinessDuringPartition:
     """An instance without enough reachable upstreams must report that it is not ready."""
 
@@ -137,6 +144,20 @@
         partition(cluster)
         assert entry.is_ready(cluster.now)
 
+    @pytest.mark.parametrize(("in_flight", "is_ready"), [(0.2, True), (1.5, False)])
+    def test_few_upstreams_with_room_for_the_callers(self, in_flight, is_ready):
+        """
+        A partition beside an evacuation: the flows on the near upstreams are sound.
+
+        lmwu-sleeplog-now-grown, small twin of trouble-2: the instances left the rotation,
+        and callers' packets went to others, which could not reach the upstreams.
+        """
+        cluster, entry = build_cluster(1, 3)
+        partition(cluster)
+        for address in cluster.entries:
+            observe_answers(cluster.running[address], cluster.now, in_flight)
+        assert entry.is_ready(cluster.now) is is_ready
+
     def test_unreachable_replicas_alone_are_not_a_partition(self):
         """The other data centre's replicas have stopped, but its upstreams still answer."""
         cluster, entry = build_cluster(1, 3)
