--- a/bench/mutations/ablations.py
+++ b/bench/mutations/ablations.py
@@ -69,7 +69,7 @@
     ),
     Ablation(
         "cache-of-upstreams",
-        "daemon/control.py",
+        "daemon/upstream_store.py",
         "for registration in registrations:",
         "for registration in ():",
     ),
--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -126,7 +126,7 @@
         "flows/flow_resets.py",
         '    "upstream_cut_off": find_lost_flows,\n',
         "",
-        f"{REACHABILITY}::TestFlowsAcrossTheCut",
+        "test_flow_resets.py::TestFlowsAcrossTheCut",
     ),
     Mutant(
         "load: idle flows push new ones into other data centres",
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -10,12 +10,6 @@
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.configuration import accept_all as accept_checked
 from lycheevalve.coordination.replacement import count_target_members
-from lycheevalve.coordination.upstream_cache import (
-    WRITE_INTERVAL_SECONDS,
-    read_upstream_cache,
-    write_lookup_table,
-    write_upstream_cache,
-)
 from lycheevalve.daemon.events import (
     Batch,
     Committed,
@@ -33,7 +27,8 @@
 from lycheevalve.daemon.role_process import INBOX_EVENTS, RoleProcess
 from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.daemon.upstream_checks import UpstreamChecked, check_upstream
-from lycheevalve.exceptions import StorageError, UnavailableError
+from lycheevalve.daemon.upstream_store import UpstreamStore
+from lycheevalve.exceptions import UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import (
     ChangeResult,
@@ -142,10 +137,11 @@
             target_member_count=count_target_members(self.settings.tolerated_losses),
         )
         nursery.start_soon(task.run, receiver)
-        await self.load_upstreams()
+        store = UpstreamStore(Path(self.settings.data_folder), self.logic, self.lookup_key)
+        await store.load()
         self.take_over_lookups()
         nursery.start_soon(self.lookup_socket.run, self.inbox)
-        nursery.start_soon(self.store_upstreams)
+        nursery.start_soon(store.run)
         await self.serve_links(nursery, self.handle_link_message)
         await nursery.start(self.make_server(self).run)
 
@@ -167,41 +163,6 @@
         )
         self.lookup_socket = UdpSocket(parse_address(self.address), early.socket)
 
-    # Persisted upstreams.
-
-    async def load_upstreams(self):
-        """Load the upstreams stored before the start; announcements replace them."""
-        folder = Path(self.settings.data_folder)
-        try:
-            registrations = await trio.to_thread.run_sync(read_upstream_cache, folder)
-        except StorageError as error:
-            record("upstreams_unreadable", reason=str(error))
-            return
-        now = trio.current_time()
-        for registration in registrations:
-            self.logic.apply_registration(registration, now)
-        record("upstreams_recalled", upstreams=len(registrations))
-
-    async def store_upstreams(self):
-        """Store the upstreams whenever one was added, started to drain or left."""
-        folder, stored = Path(self.settings.data_folder), 0
-        while True:
-            await trio.sleep(WRITE_INTERVAL_SECONDS)
-            version = self.logic.feed.urgent_version
-            if version == stored:
-                continue
-            now = trio.current_time()
-            leases = self.logic.upstreams.live_leases(now)
-            targets = self.logic.lookups.list_targets(now)
-            try:
-                await trio.to_thread.run_sync(write_upstream_cache, folder, leases)
-                await trio.to_thread.run_sync(
-                    write_lookup_table, folder, targets, self.lookup_key
-                )
-                stored = version
-            except StorageError as error:
-                record("upstreams_unwritten", reason=str(error))
-
     def count_call(self, name, status):
         """Count an answer to an operator or upstream by call and status."""
         key = (name, str(status))
