Take a check that ended late as inconclusive

Found by reading: a replica that is paused during a check finds its timeout past when it resumes, and would report a sound upstream as unreachable to its data centre. A failed check that took longer than 0.3 s is dropped; the next copy asks again. With the judgement taken out, test_pause_of_the_replica_makes_it_inconclusive and test_late_failure_is_inconclusive fail.

--- a/lycheevalve/coordination/upstream_checks.py
+++ b/lycheevalve/coordination/upstream_checks.py
@@ -95,8 +95,10 @@
         return True
 
     def record_result(self, cookie, is_reachable, now):
-        """Record the result of a check."""
+        """Record the result of a check; None if it was inconclusive."""
         self.running.discard(cookie)
+        if is_reachable is None:
+            return
         upstream = self.find_upstream(cookie)
         if is_reachable:
             self.failed.discard(cookie)
--- a/lycheevalve/daemon/upstream_checks.py
+++ b/lycheevalve/daemon/upstream_checks.py
@@ -7,14 +7,16 @@
 # replaces a first packet that was lost, which TCP repeats only after a second.
 CHECK_TIMEOUT_SECONDS = 0.15
 ATTEMPT_DELAYS_SECONDS = (0.0, 0.05)
+# A check that ended later than this proves nothing: this process was paused or busy.
+LATE_CHECK_SECONDS = 0.3
 
 
 @attrs.frozen
 class UpstreamChecked:
-    """The result of the check of the upstream with a cookie."""
+    """The result of the check of the upstream with a cookie; None if it is inconclusive."""
 
     cookie: int
-    is_reachable: bool
+    is_reachable: bool | None
 
 
 async def is_reachable(address):
@@ -40,6 +42,14 @@
     return accepted
 
 
+def judge(accepted, seconds):
+    """Return the result of a check that took `seconds`, None if it is inconclusive."""
+    return None if not accepted and seconds > LATE_CHECK_SECONDS else accepted
+
+
 async def check_upstream(cookie, address, inbox):
     """Check an upstream and send the UpstreamChecked to `inbox`."""
-    await inbox.send(UpstreamChecked(cookie, await is_reachable(address)))
+    started_at = trio.current_time()
+    accepted = await is_reachable(address)
+    result = judge(accepted, trio.current_time() - started_at)
+    await inbox.send(UpstreamChecked(cookie, result))
