--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -7,7 +7,7 @@
 from lycheevalve.daemon.events import Batch
 from lycheevalve.daemon.exposition import Metric, count_upstreams, counter, gauge
 from lycheevalve.daemon.http import Response, Server
-from lycheevalve.daemon.probes import ProbeAnswered, ProbeSocket
+from lycheevalve.daemon.probes import ProbeAnswered, open_probe_socket
 from lycheevalve.daemon.role_process import RoleProcess
 from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.entry import EntryInstance
@@ -83,12 +83,12 @@
     def start_sockets(self):
         """Start the tasks that read the packet socket and the one for probes."""
         settings = self.settings
-        self.probe_socket = ProbeSocket(self.address, settings.key, settings.data_centre)
-        for reader in (self.udp_socket, self.probe_socket):
+        self.probe_socket = open_probe_socket(self.address, settings.key, settings.data_centre)
+        for reader in filter(None, (self.udp_socket, self.probe_socket)):
             self.nursery.start_soon(reader.run, self.inbox)
 
     def probe(self, address):
-        """Probe a control replica; until the early thread has ended, nothing is probed."""
+        """Probe a control replica, once the early thread has ended."""
         if self.probe_socket is not None:
             self.probe_socket.send(address)
 
--- a/lycheevalve/daemon/probes.py
+++ b/lycheevalve/daemon/probes.py
@@ -11,6 +11,7 @@
 import trio
 
 from lycheevalve.daemon.udp_socket import UdpSocket
+from lycheevalve.logs.queue import record
 from lycheevalve.schema.lookups import (
     NONCE,
     Lookup,
@@ -77,3 +78,12 @@
             await trio.lowlevel.wait_readable(self.socket.socket)
             for address in self.find_answered(self.socket.read_batch()):
                 await inbox.send(ProbeAnswered(address))
+
+
+def open_probe_socket(address, key, data_centre):
+    """Return a ProbeSocket, or None if the address is in use: the instance works without."""
+    try:
+        return ProbeSocket(address, key, data_centre)
+    except OSError as error:
+        record("probes_unavailable", address=address, reason=str(error))
+        return None
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -112,6 +112,12 @@
         "No control replica and no upstream of a data centre answers this instance any more.",
         {"data_centre": str},
     ),
+    Event(
+        "probes_unavailable",
+        WARNING,
+        "The address for probes is in use: lost data centres are found by silent flows only.",
+        {"address": str, "reason": str},
+    ),
     Event(
         "unreachable",
         WARNING,
--- a/lycheevalve/tests/test_probes.py
+++ b/lycheevalve/tests/test_probes.py
@@ -7,7 +7,12 @@
 
 from lycheevalve.daemon.datagrams import open_datagram_socket, read_datagrams
 from lycheevalve.daemon.early import EarlyResponder
-from lycheevalve.daemon.probes import MAX_PENDING_PROBES, ProbeAnswered, ProbeSocket
+from lycheevalve.daemon.probes import (
+    MAX_PENDING_PROBES,
+    ProbeAnswered,
+    ProbeSocket,
+    open_probe_socket,
+)
 from lycheevalve.schema.lookups import (
     Answer,
     decode_lookup,
@@ -124,6 +129,15 @@
         assert len(probes.pending) == MAX_PENDING_PROBES
 
 
+class TestUnavailableAddress:
+    """The address for probes is in use."""
+
+    def test_instance_goes_on_without_probes(self):
+        taken = open_datagram_socket(("127.0.0.1", 0))
+        assert open_probe_socket(format_address(taken.getsockname()), KEY, "dc1") is None
+        taken.close()
+
+
 class TestStartingReplica:
     """A replica whose process is still starting is reached, too."""
 
