Let rounds of probes become rare while they find nothing

On machines that weak callers repeat requests because their instance is slow, each copy may start a round of probes, and each answer is a wake-up.

Change: the pause after a round that found nothing doubles from 0.25 to 1 s, and is short again after two calm seconds.

--- a/lycheevalve/flows/reachability.py
+++ b/lycheevalve/flows/reachability.py
@@ -27,8 +27,10 @@
 LATE_TICK_SECONDS = 0.12
 # How often a data centre that is cut off is probed.
 CUT_PROBE_INTERVAL_SECONDS = 0.2
-# After a round of probes that found nothing, none is started for this long.
+# After a round of probes that found nothing, none is started for this long; the pause doubles
+# up to its maximum while callers go on repeating requests, as they do under overload.
 ROUND_PAUSE_SECONDS = 0.25
+MAX_ROUND_PAUSE_SECONDS = 1.0
 # How many silent replicas and upstreams have to agree.
 MIN_WITNESSES = 3
 
@@ -59,6 +61,7 @@
     started_at: float | None = None
     probed_at: float = float("-inf")
     ended_at: float = float("-inf")
+    pause: float = ROUND_PAUSE_SECONDS
     ticked_at: float = float("-inf")
     # Since when data centres are cut off.
     cut_since: dict[str, float] = attrs.field(factory=dict)
@@ -67,9 +70,12 @@
         """Start a round of probes as an upstream left a request or an opening unanswered."""
         if upstream.registration.data_centre in (self.data_centre, *self.cut_since):
             return
-        if self.started_at is None and now - self.ended_at >= ROUND_PAUSE_SECONDS:
-            self.started_at = self.ticked_at = now
-            self.send_probes(self.update_replicas(), now)
+        if self.started_at is not None or now - self.ended_at < self.pause:
+            return
+        if now - self.ended_at > 2 * MAX_ROUND_PAUSE_SECONDS:
+            self.pause = ROUND_PAUSE_SECONDS
+        self.started_at = self.ticked_at = now
+        self.send_probes(self.update_replicas(), now)
 
     def handle_answer(self, address, now):
         """Record that a control replica has answered a probe or a poll."""
@@ -125,6 +131,9 @@
             return []
         found = self.find_cut(now)
         self.started_at, self.ended_at = None, now
+        self.pause = (
+            ROUND_PAUSE_SECONDS if found else min(MAX_ROUND_PAUSE_SECONDS, 2 * self.pause)
+        )
         for data_centre in found:
             self.cut_since[data_centre] = now
         return found
--- a/lycheevalve/tests/test_reachability.py
+++ b/lycheevalve/tests/test_reachability.py
@@ -8,6 +8,7 @@
 from lycheevalve.flows.failure_evidence import Silence
 from lycheevalve.flows.reachability import (
     CUT_PROBE_INTERVAL_SECONDS,
+    MAX_ROUND_PAUSE_SECONDS,
     MIN_WITNESSES,
     ROUND_PAUSE_SECONDS,
     VERDICT_SECONDS,
@@ -179,6 +180,28 @@
         rounds = 20 * TICK_SECONDS / (VERDICT_SECONDS + ROUND_PAUSE_SECONDS) + 1
         assert sent <= rounds * len(region.replicas)
 
+    def test_rounds_become_rare_while_the_instance_is_overloaded(self):
+        # Callers repeat requests because this instance is slow; the replicas answer.
+        region = Region()
+        sent = 0
+        for _ in range(200):
+            region.repeat(region.upstreams["dc2"][0])
+            sent += len(region.probes)
+            region.tick()
+        rounds = 200 * TICK_SECONDS / MAX_ROUND_PAUSE_SECONDS + 2
+        assert sent <= rounds * len(region.replicas)
+
+    def test_next_failure_after_a_calm_time_is_probed_at_once(self):
+        region = Region()
+        for _ in range(200):
+            region.repeat(region.upstreams["dc2"][0])
+            region.tick()
+        region.run(3.0)
+        region.cut = {"dc3"}
+        region.repeat(region.upstreams["dc3"][0])
+        region.run(VERDICT_SECONDS + TICK_SECONDS)
+        assert region.found == ["dc3"]
+
 
 class CutMachine(RuleBasedStateMachine):
     """
