Use the replica's Effects in the samples, and one replacement of processes in the soak

Found on reading the whole change: bench/formats.py repeated a class of coordination/replica.py, which every version has, and three events of the soak stopped and started a process in the same lines. The samples are byte for byte as before (tests/test_formats.py); the soak's events are the same, though the order of its random draws and the wording of its log lines for a changed version differ.

--- a/bench/formats.py
+++ b/bench/formats.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from lycheevalve.coordination.replica import Effects
 from lycheevalve.coordination.storage import Storage
 from lycheevalve.coordination.upstream_cache import (
     read_upstream_cache,
@@ -28,6 +29,7 @@
 from lycheevalve.schema.generated import messages
 
 KEY = lookups.derive_key(b"key of the samples")
+# Types of Thrift on the wire.
 STRING, STRUCT, LIST, BOOLEAN = 11, 12, 15, 2
 MESSAGES = "messages.json"
 LOOKUPS = "lookups.json"
@@ -36,16 +38,6 @@
 TARGET = lookups.Target(7, (bytes((10, 0, 0, 9)), 8080), 2, True, "i-7f3a91c2")
 
 
-@attrs.define
-class Effects:
-    """What a replica stores at once."""
-
-    entries: list = attrs.field(factory=list)
-    hard_state: object = None
-    snapshot: object = None
-    truncate_from: int = 0
-
-
 def build_value(wire_type, detail, number):
     """Return a value of a Thrift type, different for each number."""
     if wire_type == STRUCT:
@@ -106,7 +98,8 @@
     storage.load()
     hard_state = messages.HardState()
     hard_state.term = 2
-    storage.write(Effects([build_entry(1), build_entry(2)], hard_state))
+    entries = [build_entry(1), build_entry(2)]
+    storage.write(Effects(entries=entries, hard_state=hard_state))
     configuration = messages.Configuration(1, document=b'{"version": 1}')
     snapshot = messages.Snapshot(index=1, term=2, configuration=configuration)
     storage.write(Effects(snapshot=snapshot))
--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -115,27 +115,27 @@
             if name is None:
                 return
             self.log(f"restart {name}")
-            self.site.send_signal(name, signal.SIGTERM)
-            await self.site.wait_for_exit(name)
-            self.site.start_process(name)
-            await trio.sleep(4.0)
-            self.busy.discard(name)
+            await self.replace_process(name, self.site.machines[name].tree)
 
-    async def change_version(self):
-        """Replace the process of a machine by one of another version, forward or back."""
-        name = self.reserve_machine(self.random.choice(("entry", "entry", "control")))
-        if name is None:
-            return
-        machine = self.site.machines[name]
-        trees = [tree for tree in self.site.trees if tree != machine.tree]
+    async def replace_process(self, name, tree):
+        """Stop the process of a busy machine gracefully, and start one of a version there."""
         self.site.send_signal(name, signal.SIGTERM)
         await self.site.wait_for_exit(name)
-        machine.tree = self.random.choice(trees)
-        self.log(f"{name} runs {describe_tree(machine.tree)}")
+        self.site.machines[name].tree = tree
         self.site.start_process(name)
         await trio.sleep(4.0)
         self.busy.discard(name)
 
+    async def change_version(self):
+        """Replace the process of a machine by one of another version, forward or back."""
+        name = self.reserve_machine(self.random.choice(("entry", "entry", "control")))
+        if name is None:
+            return
+        current = self.site.machines[name].tree
+        tree = self.random.choice([tree for tree in self.site.trees if tree != current])
+        self.log(f"replace {name} by {describe_tree(tree)}")
+        await self.replace_process(name, tree)
+
     async def upgrade_all(self):
         """Replace the processes of all machines by the current version, one after another."""
         for name, machine in self.site.machines.items():
@@ -144,13 +144,8 @@
             if machine.tree is None:
                 continue
             self.busy.add(name)
-            self.site.send_signal(name, signal.SIGTERM)
-            await self.site.wait_for_exit(name)
-            machine.tree = None
-            self.log(f"{name} runs {describe_tree(None)}")
-            self.site.start_process(name)
-            await trio.sleep(4.0)
-            self.busy.discard(name)
+            self.log(f"replace {name} by {describe_tree(None)}")
+            await self.replace_process(name, None)
 
     async def reload_settings(self):
         """Send SIGHUP to all free processes, which then reload their settings."""
