--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -264,8 +264,7 @@
 
     def end(self):
         """End all processes that this run started, and remove its folder."""
-        for task in self.tasks:
-            task.cancel()
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         for node in self.nodes.values():
             node.wanted = False
             if node.process is not None and node.process.poll() is None:
@@ -356,10 +355,19 @@
     except CannotRun as error:
         print(f"cannot run: {error}", file=sys.stderr)
         sys.exit(2)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, lambda *_: leave(site, 2))
+    asyncio.run(play_to_end(site, play, trouble))
+
+
+async def play_to_end(site, play, trouble):
+    """Run `play`, end all processes and leave with the exit code of the case."""
     code = 2
     try:
-        broken = asyncio.run(asyncio.wait_for(play(site, trouble), MAX_SECONDS))
+        task = asyncio.create_task(play(site, trouble))
+        done, _ = await asyncio.wait([task], timeout=MAX_SECONDS)
+        if not done:
+            raise CannotRun(f"not finished after {MAX_SECONDS} s")
+        broken = task.result()
         code = 1 if broken else 0
         site.record("result", "broken" if broken else "held", reason=broken)
         print(f"{'BROKEN' if broken else 'held'}: {broken}")
@@ -367,6 +375,11 @@
         # Any error of the stand-ins themselves: the case has no result.
         site.record("result", "cannot_run", reason=repr(error))
         print(f"cannot run: {error!r}", file=sys.stderr)
-    finally:
-        site.end()
-    sys.exit(code)
+    leave(site, code)
+
+
+def leave(site, code):
+    """End all processes and this one, without waiting for the tasks of the stand-ins."""
+    site.end()
+    sys.stdout.flush()
+    os._exit(code)
