Add the log event of a failed unit of work

`task_failed` names the task, the peer, the error and the place that raised it, so that a contained error is as visible in the logs as one that ends the process.

--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -333,6 +333,12 @@
         MAX_BAD_INPUT_LINES_PER_SECOND,
     ),
     Event("bad_call", INFO, "An HTTP request could not be parsed.", {"reason": str}),
+    Event(
+        "task_failed",
+        ERROR,
+        "An error ended one unit of work; `place` is the file and line that raised it.",
+        {"task": str, "peer": str, "error": str, "place": str},
+    ),
 )
 
 EVENTS = {
