Contain an unexpected error in its connection, message, timer or task

What operators saw: processes that ended by themselves on five deployments, without logs. Here a control replica ended at 300 connections to its link port that were reset at once, at HEAD requests, at heartbeats that thrift can't encode and at a version beyond 64 bits; an entry instance ended at an acknowledged configuration with a time beyond floating point.

Cause: trio cancels all tasks when one fails. Every unit of work (a connection, a message, an event, a timer) ran without a boundary, so an error that only its author could have expected ended the process.

Change: daemon/boundaries.py reports such an error as the event task_failed and in the metric task_failures, and gives up that unit alone; long-lived tasks are started again with backoff. It is used where tasks begin: links, HTTP, polling, events, timers, datagrams, log, store. A message that can't be handled closes its polling connection, as the next poll follows an answer: without that an instance stayed at its configuration for good.

--- a/lycheevalve/coordination/timers.py
+++ b/lycheevalve/coordination/timers.py
@@ -6,10 +6,20 @@
 import attrs
 
 
+def raise_error(error):
+    """Raise the error of a callback; the default for `handle_error`."""
+    raise error
+
+
 @attrs.define
 class Timers:
-    """A heap of subscriptions, ordered by the time of the next call in seconds."""
+    """
+    A heap of subscriptions, ordered by the time of the next call in seconds.
+
+    `handle_error(error)` is called when a callback fails, and the next one runs.
+    """
 
+    handle_error: object = raise_error
     heap: list = attrs.field(factory=list)
     numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -36,7 +46,10 @@
             if interval is not None:
                 next_at = max(at + interval, now)
                 heapq.heappush(self.heap, (next_at, number, interval, callback))
-            callback(now)
+            try:
+                callback(now)
+            except Exception as error:
+                self.handle_error(error)
 
     def next_due(self):
         """Return the time of the next call, or None."""
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -10,6 +10,13 @@
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.configuration import accept_all as accept_checked
 from lycheevalve.coordination.replacement import count_target_members
+from lycheevalve.daemon.boundaries import (
+    contain,
+    keep_running,
+    keep_serving,
+    report_failure,
+    run_unit,
+)
 from lycheevalve.daemon.events import (
     Batch,
     Committed,
@@ -136,14 +143,15 @@
             founding=self.settings.founding,
             target_member_count=count_target_members(self.settings.tolerated_losses),
         )
-        nursery.start_soon(task.run, receiver)
+        nursery.start_soon(keep_running, "replica", task.run, receiver)
         store = UpstreamStore(Path(self.settings.data_folder), self.logic, self.lookup_key)
-        await store.load()
+        with contain("stored upstreams"):
+            await store.load()
         self.take_over_lookups()
-        nursery.start_soon(self.lookup_socket.run, self.inbox)
-        nursery.start_soon(store.run)
+        nursery.start_soon(keep_running, "lookups", self.lookup_socket.run, self.inbox)
+        nursery.start_soon(keep_running, "upstream store", store.run)
         await self.serve_links(nursery, self.handle_link_message)
-        await nursery.start(self.make_server(self).run)
+        await nursery.start(keep_serving, "operators", self.make_server(self).run)
 
     def take_over_lookups(self):
         """Stop the early thread, and answer lookups here from now on."""
@@ -289,6 +297,9 @@
                 self.count_call(kind, "malformed")
                 record("lookup_refused", peer=format_address(source), reason=str(error))
                 continue
+            except Exception as error:
+                report_failure(kind, error, format_address(source))
+                continue
             self.count_call(kind, "answered")
 
     def answer_lookup(self, data, source, now):
@@ -331,7 +342,9 @@
             reply.send_nowait(answer)
         queued, self.logic.checks.queue = self.logic.checks.queue, []
         for cookie, address in queued:
-            self.nursery.start_soon(check_upstream, cookie, address, self.inbox)
+            self.nursery.start_soon(
+                run_unit, "check", check_upstream, cookie, address, self.inbox
+            )
         learners = frozenset(self.logic.learners(trio.current_time()))
         if learners != self.learners:
             try:
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from lycheevalve.daemon.boundaries import keep_running, keep_serving, report_failure
 from lycheevalve.daemon.events import Batch
 from lycheevalve.daemon.exposition import Metric, count_upstreams, counter, gauge
 from lycheevalve.daemon.http import Response, Server
@@ -15,7 +16,7 @@
 from lycheevalve.flows.departure import Departure
 from lycheevalve.logs.queue import record
 from lycheevalve.logs.schema import EVENTS
-from lycheevalve.utils.addresses import parse_address
+from lycheevalve.utils.addresses import format_address, parse_address
 
 # Without settings from a replica the early thread forwards for at most this long.
 MAX_EARLY_SECONDS = 3.0
@@ -76,13 +77,13 @@
         if self.early is None:
             self.start_sockets()
         server = Server(self.settings.readiness, self.answer_probe)
-        await nursery.start(server.run)
+        await nursery.start(keep_serving, "readiness", server.run)
 
     def start_sockets(self):
         """Start the task that reads the packet socket, and open the socket for probes."""
         settings = self.settings
         self.probe_socket = open_probe_socket(self.address, settings.key, settings.data_centre)
-        self.nursery.start_soon(self.udp_socket.run, self.inbox)
+        self.nursery.start_soon(keep_running, "packets", self.udp_socket.run, self.inbox)
 
     def probe(self, address):
         """Probe a control replica, once the early thread has ended."""
@@ -146,13 +147,13 @@
     async def handle_batch(self, batch):
         """Handle a batch of callers' packets; count those that can't be parsed."""
         now = trio.current_time()
-        for data, _ in batch.datagrams:
+        for data, source in batch.datagrams:
             try:
-                packet = self.codec.read_packet(data)
+                self.logic.handle_packet(self.codec.read_packet(data), now)
             except DatagramError as error:
                 self.logic.count("bad_packet", error=error.reason)
-                continue
-            self.logic.handle_packet(packet, now)
+            except Exception as error:
+                report_failure("packet", error, format_address(source))
 
     def list_metrics(self):
         """Return the metrics of an entry instance."""
--- a/lycheevalve/daemon/exposition.py
+++ b/lycheevalve/daemon/exposition.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lycheevalve import __version__
+from lycheevalve.daemon.boundaries import failures
 from lycheevalve.daemon.http import Response, Server
 from lycheevalve.logs.queue import queue
 from lycheevalve.utils.imports import load_module
@@ -53,6 +54,12 @@
             ("event",),
             left_out,
         ),
+        counter(
+            "task_failures",
+            "Connections, messages, timers and tasks that failed unexpectedly.",
+            ("task", "error"),
+            failures,
+        ),
     ]
 
 
--- a/lycheevalve/daemon/http.py
+++ b/lycheevalve/daemon/http.py
@@ -11,8 +11,9 @@
 import attrs
 import trio
 
+from lycheevalve.daemon.boundaries import contain
 from lycheevalve.logs.queue import record
-from lycheevalve.utils.addresses import format_address, parse_address
+from lycheevalve.utils.addresses import format_peer, parse_address
 from lycheevalve.utils.imports import load_module
 
 # New connections beyond this many are closed at once, even if open ones are idle.
@@ -71,13 +72,25 @@
             await trio.aclose_forcefully(stream)
             return
         self.open_connections += 1
+        peer = format_peer(stream.socket)
         try:
-            if self.protocol is None:
-                self.protocol = await load_module("lycheevalve.daemon.http_connection")
-            peer = format_address(stream.socket.getpeername())
-            await self.protocol.serve_requests(stream, peer, self.handle)
-        except CONNECTION_ERRORS as error:
-            record("link_failed", peer=self.address, reason=repr(error))
+            with contain("http connection", peer):
+                await self.serve_requests(stream, peer)
         finally:
             self.open_connections -= 1
             await trio.aclose_forcefully(stream)
+
+    async def serve_requests(self, stream, peer):
+        """Answer the requests of one connection until it is closed."""
+        try:
+            if self.protocol is None:
+                self.protocol = await load_module("lycheevalve.daemon.http_connection")
+            await self.protocol.serve_requests(stream, peer, self.answer)
+        except CONNECTION_ERRORS as error:
+            record("link_failed", peer=peer, reason=repr(error))
+
+    async def answer(self, request):
+        """Return the Response to a request; one that fails unexpectedly has no effect known."""
+        with contain("http request", request.peer):
+            return await self.handle(request)
+        return build_error(500, "internal error; the outcome is unknown")
--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -5,6 +5,7 @@
 and each link has its own; tasks exchange events over memory channels.
 """
 
+import functools
 import random
 import time
 from pathlib import Path
@@ -14,6 +15,12 @@
 from lycheevalve import __version__
 from lycheevalve.coordination.membership import PAUSE_THRESHOLD_SECONDS
 from lycheevalve.daemon import events
+from lycheevalve.daemon.boundaries import (
+    contain,
+    keep_running,
+    keep_serving,
+    report_failure,
+)
 from lycheevalve.daemon.links import Links, make_codec_factory, serve_links
 from lycheevalve.daemon.metrics import StatsdMetrics
 from lycheevalve.daemon.replica_task import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
@@ -24,7 +31,7 @@
 from lycheevalve.logs.queue import record
 from lycheevalve.schema import frames
 from lycheevalve.schema.generated import messages
-from lycheevalve.utils.addresses import parse_address
+from lycheevalve.utils.addresses import format_address, parse_address
 
 INBOX_EVENTS = 64
 METRICS_INTERVAL_SECONDS = 1.0
@@ -70,12 +77,18 @@
                 trio.current_time(),
                 self.observe,
             )
+            self.instance.timers.handle_error = functools.partial(report_failure, "timer")
             await nursery.start(
-                serve_links, self.settings.address, make_codec, self.handle_link_message
+                keep_serving,
+                "links",
+                serve_links,
+                self.settings.address,
+                make_codec,
+                self.handle_link_message,
             )
             if self.settings.name in self.settings.replicas:
                 self.start_replica(nursery)
-            nursery.start_soon(self.udp_socket.run, self.inbox)
+            nursery.start_soon(keep_running, "packets", self.udp_socket.run, self.inbox)
             record(
                 "started", role="instance", address=self.settings.address, version=__version__
             )
@@ -94,7 +107,7 @@
         self.replica_inbox, replica_events = trio.open_memory_channel(INBOX_EVENTS)
         folder = Path(self.settings.data_folder)
         task = ReplicaTask(self.settings, folder, self.links.send, self.inbox)
-        nursery.start_soon(task.run, replica_events)
+        nursery.start_soon(keep_running, "replica", task.run, replica_events)
 
     # The instance.
 
@@ -106,11 +119,14 @@
             with trio.move_on_at(due):
                 await self.handle(await self.receiver.receive())
             now = trio.current_time()
-            self.instance.run_timers(now)
-            self.flush()
+            with contain("timers"):
+                self.instance.run_timers(now)
+            with contain("flush"):
+                self.flush()
             if now >= metrics_due_at:
                 metrics_due_at = now + METRICS_INTERVAL_SECONDS
-                self.send_metrics()
+                with contain("metrics"):
+                    self.send_metrics()
             if self.is_stopped(now):
                 self.instance.announce_left(now)
                 self.flush()
@@ -128,7 +144,8 @@
 
     async def handle(self, event):
         """Handle an event of another task."""
-        await EVENT_HANDLERS[type(event)](self, event)
+        with contain(type(event).__name__):
+            await EVENT_HANDLERS[type(event)](self, event)
 
     async def handle_batch(self, batch):
         """Handle a batch of datagrams; after a pause drop it and the backlog as stale."""
@@ -144,10 +161,15 @@
             return
         self.instance.observe_time(now)
         for datagram, source in batch.datagrams:
-            if datagram[:1] == bytes((frames.MAGIC,)):
-                self.handle_frame(datagram, source, now)
-            else:
-                self.instance.handle_datagram(datagram, source, now)
+            with contain("datagram", format_address(source)):
+                self.handle_datagram(datagram, source, now)
+
+    def handle_datagram(self, datagram, source, now):
+        """Handle a frame of another instance, or a datagram of a caller or an upstream."""
+        if datagram[:1] == bytes((frames.MAGIC,)):
+            self.handle_frame(datagram, source, now)
+        else:
+            self.instance.handle_datagram(datagram, source, now)
 
     def handle_frame(self, datagram, source, now):
         """Handle a frame of another instance; count and drop invalid ones."""
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -11,11 +11,12 @@
 
 import trio
 
+from lycheevalve.daemon.boundaries import contain
 from lycheevalve.exceptions import FrameError, LycheevalveError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.frames import FrameCodec
 from lycheevalve.schema.generated.messages import Failure, Greeting
-from lycheevalve.utils.addresses import format_address, parse_address
+from lycheevalve.utils.addresses import format_peer, parse_address
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -124,12 +125,17 @@
             address = self.address_of(name)
             if not address:
                 continue
-            try:
-                connection = await open_connection(address, self.make_codec())
-                await self.send_queued(connection, message, receiver)
-            except* LINK_ERRORS as group:
-                for error in group.exceptions:
-                    record("link_failed", peer=name, reason=str(error))
+            with contain("link", name):
+                await self.use_link(name, address, message, receiver)
+
+    async def use_link(self, name, address, message, receiver):
+        """Open a link and send the queued messages until it fails."""
+        try:
+            connection = await open_connection(address, self.make_codec())
+            await self.send_queued(connection, message, receiver)
+        except* LINK_ERRORS as group:
+            for error in group.exceptions:
+                record("link_failed", peer=name, reason=str(error))
 
     async def send_queued(self, connection, message, receiver):
         """Send the first message and those queued after it until the link fails."""
@@ -182,7 +188,11 @@
     host, port = parse_address(address)
 
     async def serve(stream):
-        peer = format_address(stream.socket.getpeername())
+        peer = format_peer(stream.socket)
+        with contain("link", peer):
+            await serve_link(stream, peer)
+
+    async def serve_link(stream, peer):
         try:
             await serve_connection(stream, make_codec(), handle)
         except FrameError as error:
--- a/lycheevalve/daemon/polling.py
+++ b/lycheevalve/daemon/polling.py
@@ -12,6 +12,7 @@
 import trio
 
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS
+from lycheevalve.daemon.boundaries import report_failure
 from lycheevalve.daemon.events import Received
 from lycheevalve.daemon.links import LINK_ERRORS, open_connection
 from lycheevalve.exceptions import UnavailableError
@@ -53,6 +54,8 @@
         self.nursery = nursery
         self.queues = {}
         self.scopes = {}
+        # The scope of each open connection.
+        self.open_scopes = {}
 
     def set_addresses(self, addresses):
         """Keep connections to these addresses and close all others."""
@@ -63,6 +66,7 @@
         for address in set(self.scopes) - set(addresses):
             self.scopes.pop(address).cancel()
             self.queues.pop(address, None)
+            self.open_scopes.pop(address, None)
 
     def send(self, address, message):
         """Queue a message; drop it without a connection or when the queue is full."""
@@ -74,6 +78,11 @@
         except trio.WouldBlock:
             record("queue_full", peer=address)
 
+    def reopen(self, address):
+        """Close the connection to an address; it is opened again after a longer pause."""
+        if self.queues.pop(address, None) is not None:
+            self.open_scopes[address].cancel()
+
     async def run(self, address, scope):
         """Keep a connection open, reconnecting with backoff, until the scope is cancelled."""
         backoff = MIN_BACKOFF_SECONDS
@@ -84,6 +93,9 @@
                     await self.use_connection(address)
                 except LINK_ERRORS as error:
                     reason = repr(error)
+                except Exception as error:
+                    report_failure("polling", error, address)
+                    reason = repr(error)
                 backoff = (
                     MIN_BACKOFF_SECONDS if address in self.queues else next_backoff(backoff)
                 )
@@ -95,12 +107,19 @@
         """Open a connection and exchange the queued messages until it fails."""
         connection = await open_connection(address, self.make_codec(), CONNECT_TIMEOUT_SECONDS)
         async with connection.stream:
-            queue, receiver = trio.open_memory_channel(QUEUE_MESSAGES)
-            self.queues[address] = queue
-            await self.owner_inbox.send(Opened(address))
-            async for message in receiver:
-                answer = await exchange(connection, message, address)
-                await self.owner_inbox.send(Received(address, answer))
+            with trio.CancelScope() as scope:
+                self.open_scopes[address] = scope
+                await self.poll(connection, address)
+        raise UnavailableError("an answer could not be handled", "poll", address)
+
+    async def poll(self, connection, address):
+        """Exchange the queued messages over an open connection."""
+        queue, receiver = trio.open_memory_channel(QUEUE_MESSAGES)
+        self.queues[address] = queue
+        await self.owner_inbox.send(Opened(address))
+        async for message in receiver:
+            answer = await exchange(connection, message, address)
+            await self.owner_inbox.send(Received(address, answer))
 
 
 def next_backoff(seconds):
--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -1,5 +1,6 @@
 """Base of the entry and control processes: inbox, polling connections, timers."""
 
+import functools
 import random
 import time
 
@@ -7,6 +8,7 @@
 
 from lycheevalve import __version__
 from lycheevalve.config.roles import link_address, link_addresses
+from lycheevalve.daemon.boundaries import contain, keep_serving, report_failure
 from lycheevalve.daemon.events import Received, Reload, Stop
 from lycheevalve.daemon.exposition import make_server
 from lycheevalve.daemon.links import make_codec_factory, serve_links
@@ -52,11 +54,12 @@
         async with trio.open_nursery() as nursery:
             self.connections = PollingConnections(self.make_codec, self.inbox, nursery)
             now = trio.current_time()
+            self.logic.timers.handle_error = functools.partial(report_failure, "timer")
             self.logic.subscriptions.set_seeds(link_addresses(self.settings), now)
             await self.start(nursery)
             if self.settings.metrics:
                 server = make_server(self.settings.metrics, self.list_metrics)
-                await nursery.start(server.run)
+                await nursery.start(keep_serving, "metrics", server.run)
             record(
                 "started", role=self.settings.role, address=self.address, version=__version__
             )
@@ -78,22 +81,35 @@
 
     async def serve_links(self, nursery, handle):
         """Start to accept links of other processes."""
-        await nursery.start(serve_links, self.address, self.make_codec, handle)
+        await nursery.start(
+            keep_serving, "links", serve_links, self.address, self.make_codec, handle
+        )
 
     async def run_events(self):
-        """Handle events and timers until the graceful stop is complete."""
+        """
+        Handle events and timers until the graceful stop is complete.
+
+        Each event and each timer is a unit of its own, after an error of which the state
+        stays: all of it is repeated by the peers, except the log, see replica_task.py.
+        """
         while True:
             with trio.move_on_at(self.logic.timers.next_due()):
-                event = await self.receiver.receive()
-                self.detect_pause()
-                await self.event_handlers[type(event)](event)
-            self.detect_pause()
+                await self.handle_event(await self.receiver.receive())
             now = trio.current_time()
-            self.logic.run_timers(now)
-            self.flush()
+            with contain("timers"):
+                self.detect_pause()
+                self.logic.run_timers(now)
+            with contain("flush"):
+                self.flush()
             if self.is_stopped(now):
                 return
 
+    async def handle_event(self, event):
+        """Handle an event of another task."""
+        with contain(type(event).__name__):
+            self.detect_pause()
+            await self.event_handlers[type(event)](event)
+
     def detect_pause(self):
         """Detect a pause of the process; only CLOCK_BOOTTIME counts the time of a suspend."""
         boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -127,8 +143,16 @@
     # Events.
 
     async def handle_received(self, event):
-        """Handle an answer of a control replica."""
-        self.logic.handle_message(event.sender, event.message, trio.current_time())
+        """
+        Handle an answer of a control replica.
+
+        After an error the connection is opened again, as the next poll follows an answer.
+        """
+        try:
+            self.logic.handle_message(event.sender, event.message, trio.current_time())
+        except Exception as error:
+            report_failure("message", error, event.sender)
+            self.connections.reopen(event.sender)
 
     async def handle_opened(self, event):
         """Start to poll a control replica whose connection was opened."""
--- a/lycheevalve/utils/addresses.py
+++ b/lycheevalve/utils/addresses.py
@@ -18,6 +18,14 @@
     return f"{address[0]}:{address[1]}"
 
 
+def format_peer(connected):
+    """Return the `ip:port` of the peer of a socket, or "" if it has closed the connection."""
+    try:
+        return format_address(connected.getpeername())
+    except OSError:
+        return ""
+
+
 @lru_cache(maxsize=65536)
 def pack_address(address):
     """Return a socket address as 6 bytes: IPv4 address, port (big-endian)."""
