Close one connection only when an HTTP answer can't be written

What operators saw: one HEAD request to the operators' or the metrics port, or one CONNECT to the readiness or metrics port, ended the process with code 1.

Cause: h11 raises LocalProtocolError where an answer breaks the protocol: a body after HEAD, an end of message after a successful CONNECT. Nothing caught it, so it left the task of the connection and cancelled all others.

Change: an answer to HEAD has the headers of the answer and no body. CONNECT is refused with 405. An answer that still can't be written is logged as answer_failed and closes its connection.

--- a/lycheevalve/daemon/http_connection.py
+++ b/lycheevalve/daemon/http_connection.py
@@ -17,44 +17,57 @@
 async def serve_requests(stream, peer, handle):
     """Answer the requests of one connection in sequence."""
     connection = h11.Connection(h11.SERVER)
-    while True:
-        try:
-            request = await read_request(connection, stream, peer)
-        except h11.RemoteProtocolError as error:
-            record("bad_call", reason=str(error))
-            await send_protocol_error(connection, stream, error)
-            return
-        if request is None:
-            return
-        if isinstance(request, Response):
-            await write_response(connection, stream, request, close=True)
-            return
-        response = await handle(request)
-        await write_response(connection, stream, response)
-        if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
-            return
-        connection.start_next_cycle()
-
-
-async def send_protocol_error(connection, stream, error):
-    """Send the error for a request that can't be parsed."""
-    if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-        response = build_error(error.error_status_hint, str(error))
-        await write_response(connection, stream, response, close=True)
-
-
-async def read_request(connection, stream, peer):
-    """Return the next Request, an error Response, or None for an idle or closed connection."""
+    try:
+        while await serve_request(connection, stream, peer, handle):
+            connection.start_next_cycle()
+    except h11.LocalProtocolError as error:
+        record("answer_failed", peer=peer, reason=str(error))
+
+
+async def serve_request(connection, stream, peer, handle):
+    """Answer one request; return whether another may follow on the connection."""
+    head = None
+    try:
+        head = await read_head(connection, stream)
+        if head is None:
+            return False
+        request = check_head(head) or await read_request(connection, stream, head, peer)
+    except h11.RemoteProtocolError as error:
+        record("bad_call", reason=str(error))
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return False
+        request = build_error(error.error_status_hint, str(error))
+    if isinstance(request, Response):
+        await write_response(connection, stream, head, request, close=True)
+        return False
+    response = await handle(request)
+    await write_response(connection, stream, head, response)
+    return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+
+async def read_head(connection, stream):
+    """Return the head of the next request, or None for an idle or closed connection."""
     with trio.move_on_after(IDLE_TIMEOUT_SECONDS):
         head = await next_event(connection, stream)
-        if not isinstance(head, h11.Request):
-            return None
-        with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
-            return await read_body(connection, stream, head, peer)
-        return build_error(408, "the request body did not arrive in time")
+        return head if isinstance(head, h11.Request) else None
     return None
 
 
+def check_head(head):
+    """Return the error Response to a head that this server does not handle, or None."""
+    if head.method == b"CONNECT":
+        # A successful answer would turn the connection into a tunnel.
+        return build_error(405, "the method CONNECT is not supported")
+    return None
+
+
+async def read_request(connection, stream, head, peer):
+    """Return the Request of a head, or an error Response."""
+    with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
+        return await read_body(connection, stream, head, peer)
+    return build_error(408, "the request body did not arrive in time")
+
+
 async def read_body(connection, stream, head, peer):
     """Return the Request of a head and its body, or an error Response."""
     body = bytearray()
@@ -83,8 +96,8 @@
         connection.receive_data(await stream.receive_some(READ_BYTES))
 
 
-async def write_response(connection, stream, response, close=False):
-    """Send a response with a single write."""
+async def write_response(connection, stream, head, response, close=False):
+    """Send the response to a request, whose head may be None, with a single write."""
     headers = [
         ("Content-Type", response.content_type),
         ("Content-Length", str(len(response.body))),
@@ -92,7 +105,8 @@
     if close:
         headers.append(("Connection", "close"))
     data = connection.send(h11.Response(status_code=response.status, headers=headers))
-    if response.body:
+    # The answer to HEAD has the headers of an answer to GET, and no body.
+    if response.body and not (head and head.method == b"HEAD"):
         data += connection.send(h11.Data(data=response.body))
     data += connection.send(h11.EndOfMessage())
     await stream.send_all(data)
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -333,6 +333,13 @@
         MAX_BAD_INPUT_LINES_PER_SECOND,
     ),
     Event("bad_call", INFO, "An HTTP request could not be parsed.", {"reason": str}),
+    Event(
+        "answer_failed",
+        WARNING,
+        "An HTTP answer could not be written; its connection was closed.",
+        {"peer": str, "reason": str},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
 )
 
 EVENTS = {
--- a/lycheevalve/tests/test_http.py
+++ b/lycheevalve/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import pytest
 import trio
 
 from lycheevalve.daemon import http, http_connection
@@ -24,7 +25,7 @@
 
     async def echo(request):
         requests.append(request)
-        return Response(200, request.body)
+        return Response(1000 if request.path == "/unwritable" else 200, request.body)
 
     async def main():
         address = find_address()
@@ -82,6 +83,57 @@
         assert len(serve(client)) == 1
 
 
+class TestHead:
+    """HEAD requests, whose answers have no body."""
+
+    def test_answer_has_the_length_and_no_body(self):
+        """The body of the answer ended the process; the next request is answered, too."""
+
+        async def client(connect):
+            async with await connect() as stream:
+                await stream.send_all(POST.replace(b"POST", b"HEAD"))
+                answer = await stream.receive_some(65_536)
+                assert b"200" in answer
+                assert b"Content-Length: 4" in answer
+                assert answer.endswith(b"\r\n\r\n")
+                await stream.send_all(POST)
+                assert (await stream.receive_some(65_536)).endswith(b"body")
+
+        assert len(serve(client)) == 2
+
+    def test_error_has_no_body(self, monkeypatch):
+        """An error before the end of the request is an answer to HEAD, too."""
+        monkeypatch.setattr(http_connection, "MAX_BODY_BYTES", 2)
+
+        async def client(connect):
+            async with await connect() as stream:
+                await stream.send_all(POST.replace(b"POST", b"HEAD"))
+                answer = await read_all(stream)
+                assert b" 413 " in answer
+                assert answer.endswith(b"\r\n\r\n")
+
+        assert serve(client) == []
+
+
+class TestPipelines:
+    """Requests that are sent before the answers to earlier ones."""
+
+    def test_answers_come_in_the_order_of_the_requests(self):
+        """The answers must not mix, whether the caller expects 100-continue or not."""
+        expecting = POST.replace(b"Host", b"Expect: 100-continue\r\nHost")
+
+        async def client(connect):
+            async with await connect() as stream:
+                for data in (POST * 5, expecting * 5):
+                    await stream.send_all(data)
+                    answers = b""
+                    while answers.count(b"body") < 5:
+                        answers += await stream.receive_some(65_536)
+                    assert answers.count(b" 200 ") == 5
+
+        assert len(serve(client)) == 10
+
+
 class TestBadRequests:
     """Invalid requests close their own connection only."""
 
@@ -118,6 +170,46 @@
         data = POST.replace(b": 4", b": 200").replace(b"body", b"x" * 200)
         assert len(self.check_rejected(data, b"413")) == 1
 
+    def test_content_length_of_too_many_digits(self):
+        """int() refuses more than 4,300 digits; that error must not reach other tasks."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n"
+        assert len(self.check_rejected(head, b"400")) == 1
+
+    def test_connect_opens_no_tunnel(self):
+        """The state of the connection after a successful CONNECT ended the process."""
+        head = b"CONNECT /call HTTP/1.1\r\nHost: a\r\n\r\n"
+        (request,) = self.check_rejected(head, b"405")
+        assert request.method == "POST"
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            POST.replace(b"Content-Length: 4", b"Content-Length: 4, 5"),
+            POST.replace(b"Content-Length: 4", b"Content-Length: -4"),
+            POST.replace(b"Content-Length: 4", b"Content-Length: 4\r\nContent-Length: 5"),
+            POST.replace(b"Content-Length: 4", b"Transfer-Encoding: chunked"),
+            POST.replace(b"Content-Length: 4", b"Transfer-Encoding: gzip"),
+            POST.replace(b"/call", b"/\xff"),
+        ],
+    )
+    def test_malformed_head_or_framing(self, data):
+        """The error of one request must not reach other connections."""
+        (request,) = self.check_rejected(data, b"HTTP/1.1 ")
+        assert request.body == b"body"
+
+    def test_answer_that_cannot_be_written(self):
+        """h11 refuses an answer with a status of four digits; that error ended the process."""
+
+        async def client(connect):
+            async with await connect() as stream:
+                await stream.send_all(POST.replace(b"/call", b"/unwritable"))
+                assert await read_all(stream) == b""
+            async with await connect() as stream:
+                await stream.send_all(POST)
+                assert b"200" in await stream.receive_some(65_536)
+
+        assert len(serve(client)) == 2
+
     def test_slow_request(self, monkeypatch):
         monkeypatch.setattr(http_connection, "REQUEST_TIMEOUT_SECONDS", 0.1)
         assert len(self.check_rejected(POST[:-2], b"408")) == 1
