Refuse heartbeats, configurations and orders that can't be encoded

What operators saw: one heartbeat with a lone surrogate in a string, or with `slots` or `warmupLeftMs` from 2^31, and one configuration with a version from 2^63 ended the control replica that took it, and each other one it was sent to next. The heartbeat had been acknowledged in part of the cases.

Cause: what comes from outside was checked against limits of its own, not against those of the messages that carry it on. The encoder raised its error later, in the answer to a poll, in the log or in a lookup, where it concerned all receivers.

Registrations and changes are checked when they are built from a call; the call is answered with 400 and a reason that names the field, and logged with its peer. Strings of a heartbeat have at most 255 characters: all registrations of a site share one message of limited size, and an answer to a lookup holds 255 bytes of an id.

--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -268,7 +268,7 @@
         "announcement_refused",
         WARNING,
         "An announcement of an upstream was refused.",
-        {"reason": str},
+        {"reason": str, "peer": str},
     ),
 )
 PROCESS_EVENTS = (
--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -13,6 +13,8 @@
 
 from lycheevalve.exceptions import SettingsError
 from lycheevalve.flows.front_doors import FrontDoorRoute
+from lycheevalve.schema.encodable import find_error
+from lycheevalve.schema.generated.messages import Change
 
 STEP = "check configuration"
 MAX_PORT = 65_535
@@ -31,6 +33,12 @@
     revision: int
     text: bytes
 
+    def build_change(self):
+        """Return the Change that puts this configuration in force."""
+        return Change(
+            change_id=f"{self.revision}", target_revision=self.revision, document=self.text
+        )
+
 
 def read_document(body):
     """Return the Document of a request's body; raise SettingsError when it is invalid."""
@@ -39,7 +47,14 @@
     except (ValueError, RecursionError) as error:
         raise SettingsError(f"configuration is not valid JSON: {error}", STEP) from error
     check_document(value)
-    return Document(value["version"], zlib.compress(bytes(body), COMPRESSION_LEVEL))
+    document = Document(value["version"], zlib.compress(bytes(body), COMPRESSION_LEVEL))
+    check_encodable(document.build_change())
+    return document
+
+
+def check_encodable(change):
+    """Raise SettingsError when a Change can't be encoded for other processes."""
+    require(not (reason := find_error(change)), reason)
 
 
 def decompress_document(text):
--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -3,6 +3,7 @@
 import json
 
 from lycheevalve.exceptions import AnnouncementError
+from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.utils.addresses import parse_address
 
@@ -11,10 +12,14 @@
 # The lease of a target, counted in heartbeat intervals: without a heartbeat for this long
 # it gets no new flows.
 LEASE_HEARTBEATS = 5
+# The registrations of all targets are sent in one message, whose size is limited, and an
+# answer to a lookup holds as many bytes of a name.
+MAX_TEXT_LENGTH = 255
 
 
 def read_heartbeat(name, body, heartbeat_ms):
     """Return the Registration of a heartbeat; raise AnnouncementError when it is invalid."""
+    check_name(name)
     try:
         value = json.loads(body)
     except (ValueError, RecursionError) as error:
@@ -29,7 +34,7 @@
         parse_address(address)
     except ValueError as error:
         raise AnnouncementError(str(error), STEP, name) from error
-    return Registration(
+    registration = Registration(
         service_name=read_string(value, "service", name),
         address=address,
         data_centre=read_string(value, "zone", name),
@@ -42,13 +47,25 @@
         name=name,
         warm_up_ms=read_integer(value, "warmupLeftMs", name, default=0),
     )
+    reason = find_error(registration)
+    if reason:
+        raise AnnouncementError(reason, STEP, name)
+    return registration
+
+
+def check_name(name):
+    """Raise AnnouncementError when the id of a target is empty or too long."""
+    if not 0 < len(name) <= MAX_TEXT_LENGTH:
+        reason = f"the id must have 1 to {MAX_TEXT_LENGTH} characters, not {len(name)}"
+        raise AnnouncementError(reason, "read id")
 
 
 def read_string(value, key, name):
-    """Return a non-empty string field; raise AnnouncementError for any other value."""
+    """Return a string field; raise AnnouncementError for any other value."""
     text = value.get(key)
-    if not isinstance(text, str) or not text:
-        raise AnnouncementError(f"{key} must be a non-empty string", STEP, name)
+    if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT_LENGTH:
+        reason = f"{key} must be a string of 1 to {MAX_TEXT_LENGTH} characters"
+        raise AnnouncementError(reason, STEP, name)
     return text
 
 
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -7,8 +7,8 @@
 from lycheevalve.daemon.http import Response, Server, build_error, build_json
 from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
 from lycheevalve.logs.queue import record
-from lycheevalve.platform.documents import decompress_document, read_document
-from lycheevalve.platform.heartbeats import read_heartbeat
+from lycheevalve.platform.documents import check_encodable, decompress_document, read_document
+from lycheevalve.platform.heartbeats import check_name, read_heartbeat
 from lycheevalve.schema.generated.messages import Change
 
 # Method and path of each call; the id of a target follows the path of its calls.
@@ -19,6 +19,8 @@
 RESTORE = ("POST", "/Evacuations.Stop/")
 HEARTBEAT = ("POST", "/Instances.Heartbeat/")
 DEREGISTER = ("POST", "/Instances.Deregister/")
+# The log event for each error of an invalid call.
+REFUSALS = {SettingsError: "refused", AnnouncementError: "announcement_refused"}
 
 
 def make_server(process):
@@ -36,6 +38,9 @@
     except UnavailableError as error:
         record("unavailable", call=handle.__name__, reason=str(error))
         response = build_error(503, str(error))
+    except tuple(REFUSALS) as error:
+        record(REFUSALS[type(error)], reason=str(error), peer=request.peer)
+        response = build_error(400, str(error))
     process.count_call(handle.__name__, response.status)
     return response
 
@@ -57,22 +62,13 @@
 
 async def replace(process, _, request):
     """Propose a configuration; acknowledge it once a quorum has stored it."""
-    try:
-        document = read_document(request.body)
-    except SettingsError as error:
-        record("refused", reason=str(error), peer=request.peer)
-        return build_error(400, str(error))
+    document = read_document(request.body)
     held = process.logic.dissemination.held.revision
     if document.revision <= held:
         # A committed revision is never rolled back, so this answer needs no leader.
         record("overtaken", revision=document.revision, held=held)
         return build_json(200, {"version": held})
-    change = Change(
-        change_id=f"{document.revision}",
-        target_revision=document.revision,
-        document=document.text,
-    )
-    result = await process.propose(change)
+    result = await process.propose(document.build_change())
     record("accepted", revision=document.revision, held=result.revision)
     return build_json(200, {"version": result.revision})
 
@@ -104,6 +100,7 @@
     # A call that the operator sends again is another order; it changes nothing by itself.
     # Replicas of an earlier version refuse it by its base revision.
     change = Change(uuid.uuid4().hex, base_revision=-1, keeps_revision=True, **orders)
+    check_encodable(change)
     result = await process.propose(change)
     if result.outcome != Outcome.ACCEPTED:
         # Only a leader of an earlier version refuses an order.
@@ -125,17 +122,14 @@
 
 async def heartbeat(process, name, request):
     """Register a target from its heartbeat."""
-    try:
-        registration = read_heartbeat(name, request.body, process.settings.heartbeat_ms)
-    except AnnouncementError as error:
-        record("announcement_refused", reason=str(error))
-        return build_error(400, str(error))
+    registration = read_heartbeat(name, request.body, process.settings.heartbeat_ms)
     await process.announce(registration)
     return build_json(200, {})
 
 
 async def deregister(process, name, request):
     """Deregister a target."""
+    check_name(name)
     await process.deregister(name)
     return build_json(200, {})
 
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -20,7 +20,8 @@
 from lycheevalve.platform import headers, operators, packets
 from lycheevalve.platform.documents import decompress_document, read_document, read_routes
 from lycheevalve.platform.heartbeats import read_heartbeat
-from lycheevalve.schema.generated.messages import ChangeResult, Configuration
+from lycheevalve.schema.frames import decode_struct, encode_struct
+from lycheevalve.schema.generated.messages import ChangeResult, Configuration, Registration
 from lycheevalve.tests.fakes.entry import build_registration
 
 SYN = bytes.fromhex("000000001122334400000000a1b2c3d5080000006440000701bb9c41c61200010000")
@@ -186,6 +187,12 @@
         with pytest.raises(SettingsError):
             read_document(encode(build_value(**changes)))
 
+    def test_version_that_cannot_be_encoded_is_refused(self):
+        """The replica that proposed it ended; the largest one that can be is accepted."""
+        with pytest.raises(SettingsError, match="target_revision must be an integer of 64"):
+            read_document(encode(build_value(2**63)))
+        assert read_document(encode(build_value(2**63 - 1))).revision == 2**63 - 1
+
     @pytest.mark.parametrize("version", [0, -1, 1.5, "7", None, True])
     def test_version_must_be_a_positive_integer(self, version):
         with pytest.raises(SettingsError, match="version"):
@@ -270,12 +277,33 @@
             {"born": "now"},
             {"born": True},
             {"zone": []},
+            {"slots": 2**31},
+            {"warmupLeftMs": 2**31},
+            {"sequence": 2**63},
+            {"service": "night\ud800sync"},
+            {"zone": "ikeja\udfff"},
+            {"address": "10.128.0.9:8080\udfff"},
+            {"service": "s" * 256},
+            {"zone": "z" * 4096},
         ],
     )
     def test_invalid_heartbeat_is_refused(self, changes):
+        """One that can't be encoded for other processes ended the one that took it."""
         with pytest.raises(AnnouncementError):
             read_heartbeat("i-7", build_heartbeat(**changes), 770)
 
+    def test_largest_values_are_read(self):
+        """The limits must not refuse what can be encoded."""
+        body = build_heartbeat(slots=2**31 - 1, warmupLeftMs=2**31 - 1, service="s" * 255)
+        registration = read_heartbeat("i" * 255, body, 770)
+        assert decode_struct(Registration, encode_struct(registration)) == registration
+
+    @pytest.mark.parametrize("name", ["", "i" * 256])
+    def test_id_of_a_wrong_length_is_refused(self, name):
+        """A longer id is cut in answers to lookups, so that it is that of another target."""
+        with pytest.raises(AnnouncementError, match="id must have 1 to 255 characters"):
+            read_heartbeat(name, build_heartbeat(), 770)
+
     @pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"null", b"[" * 99_999])
     def test_unparsable_body_is_refused(self, body):
         with pytest.raises(AnnouncementError):
@@ -394,6 +422,32 @@
         assert call(process, "POST", path, b"\x00").status == 400
         assert process.announced == []
 
+    @pytest.mark.parametrize(
+        ("path", "body"),
+        [
+            ("/Instances.Heartbeat/i-7", build_heartbeat(service="night\ud800sync")),
+            ("/Instances.Heartbeat/i-7", build_heartbeat(slots=2**31)),
+            ("/Instances.Heartbeat/", build_heartbeat()),
+            ("/Instances.Deregister/", b""),
+            ("/Instances.Deregister/" + "i" * 256, b""),
+            ("/Config.Replace", encode(build_value(2**63))),
+        ],
+    )
+    def test_call_that_cannot_be_encoded_is_refused_with_a_reason(self, path, body):
+        """Such a call was acknowledged, and ended the process that encoded it later."""
+        process = FakeProcess()
+        response = call(process, "POST", path, body)
+        assert response.status == 400
+        assert json.loads(response.body)["error"]
+        assert process.announced == process.proposed == process.deregistered == []
+
+    def test_order_that_cannot_be_encoded_is_refused(self, monkeypatch):
+        """The name of a data centre comes from the path, where the site has no list of them."""
+        monkeypatch.setattr(FakeProcess.Settings, "data_centres", ())
+        process = FakeProcess()
+        assert call(process, "POST", "/Evacuations.Start/ikeja\ud800").status == 400
+        assert process.proposed == []
+
     @pytest.mark.parametrize(
         ("verb", "orders"),
         [("Start", (["ikeja-a"], [])), ("Stop", ([], ["ikeja-a"]))],
