Refuse JSON that instances or operators can't read back

What operators saw: a configuration with `timeoutMs` or `targetLatencyMs` 10^400 was acknowledged and stored, and ended each entry instance that read it, again at each start. Configurations that aren't UTF-8, with lone surrogates, repeated keys, NaN, infinite numbers or hundreds of levels of nesting were acknowledged, too.

Cause: json.loads accepts more than JSON, and its limit of nesting is that of the stack where it is called. What the routes are built from was not checked against what that calculates with.

Change: strict_json.py reads configurations and heartbeats: UTF-8, no lone surrogates and repeated keys, numbers that a double can hold, 32 levels. Unknown fields are read as before. Numbers of routes have 64 bits. Before it is accepted, a configuration is read as instances read it, and read_routes raises SettingsError for whatever its content causes.

--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -13,6 +13,7 @@
 
 from lycheevalve.exceptions import SettingsError
 from lycheevalve.flows.front_doors import FrontDoorRoute
+from lycheevalve.platform.strict_json import read_json
 from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Change
 
@@ -24,6 +25,19 @@
 # Level 1 takes a third of the default level's CPU time and an eighth more bytes
 # (350 routes: 0.11 ms and 2,926 bytes, against 0.33 ms and 2,582 bytes).
 COMPRESSION_LEVEL = 1
+# Sums of such numbers can be converted to floating-point numbers.
+MAX_INTEGER = 2**63 - 1
+# What the content of a document may raise while it is read.
+CONTENT_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    OSError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    zlib.error,
+)
 
 
 @attrs.frozen
@@ -43,12 +57,14 @@
 def read_document(body):
     """Return the Document of a request's body; raise SettingsError when it is invalid."""
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        value = read_json(body)
+    except ValueError as error:
         raise SettingsError(f"configuration is not valid JSON: {error}", STEP) from error
     check_document(value)
     document = Document(value["version"], zlib.compress(bytes(body), COMPRESSION_LEVEL))
     check_encodable(document.build_change())
+    # Instances read the text again, from their disks also after a restart.
+    read_routes(document.text)
     return document
 
 
@@ -63,8 +79,19 @@
 
 
 def read_routes(text):
-    """Return the routes of a compressed document by (packed address, port)."""
-    value = json.loads(zlib.decompress(text))
+    """
+    Return the routes of a compressed document by (packed address, port).
+
+    Raise SettingsError when it is unreadable, as one may be that an earlier version accepted.
+    """
+    try:
+        return build_routes(json.loads(zlib.decompress(text)))
+    except CONTENT_ERRORS as error:
+        raise SettingsError(f"unreadable: {error!r}", "read configuration") from error
+
+
+def build_routes(value):
+    """Return the routes of a decoded document by (packed address, port)."""
     warming = frozenset(
         service["name"]
         for service in value.get("services", ())
@@ -100,13 +127,17 @@
     """Return the services of a route as ((name, weight), ...)."""
     weighted = route.get("weightedBackends")
     if weighted:
+        # Flows are distributed by the sum of the weights as a floating-point number.
+        float(sum(backend["weight"] for backend in weighted))
         return tuple((backend["service"], backend["weight"]) for backend in weighted)
     return ((route["service"], 1),)
 
 
 def is_integer(value, minimum=0):
-    """Return whether a value is an integer of at least `minimum`."""
-    return isinstance(value, int) and not isinstance(value, bool) and value >= minimum
+    """Return whether a value is an integer from `minimum` to MAX_INTEGER."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        return False
+    return minimum <= value <= MAX_INTEGER
 
 
 def is_number(value):
@@ -123,7 +154,10 @@
 def check_document(value):
     """Raise SettingsError when a configuration is invalid."""
     require(isinstance(value, dict), "configuration must be a JSON object")
-    require(is_integer(value.get("version"), 1), "version must be a positive integer")
+    require(
+        is_integer(value.get("version"), 1),
+        f"version must be an integer from 1 to {MAX_INTEGER}",
+    )
     for key in ("routes", "services"):
         require(isinstance(value.get(key), list), f"{key} must be a list")
     limits = value.get("limits", {})
@@ -165,7 +199,7 @@
     require(isinstance(name, str) and name, "each route must have a name, a non-empty string")
     require(
         is_integer(route.get("timeoutMs"), 1),
-        f"route {name}: timeoutMs must be a positive integer",
+        f"route {name}: timeoutMs must be an integer from 1 to {MAX_INTEGER}",
     )
     for backend in check_backends(route, name):
         require(backend in services, f"route {name}: unknown service {backend!r}")
@@ -198,7 +232,7 @@
         require(is_valid, f"route {name}: each backend must name a service")
         require(
             is_integer(backend.get("weight")),
-            f"route {name}: each backend must have a weight, an integer of 0 or more",
+            f"route {name}: each weight must be an integer from 0 to {MAX_INTEGER}",
         )
     total = sum(backend["weight"] for backend in weighted)
     require(total > 0, f"route {name}: at least one weight must be above 0")
--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -1,8 +1,7 @@
 """Heartbeats of the platform's targets, converted to registrations of upstreams."""
 
-import json
-
 from lycheevalve.exceptions import AnnouncementError
+from lycheevalve.platform.strict_json import read_json
 from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.utils.addresses import parse_address
@@ -21,8 +20,8 @@
     """Return the Registration of a heartbeat; raise AnnouncementError when it is invalid."""
     check_name(name)
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        value = read_json(body)
+    except ValueError as error:
         raise AnnouncementError(f"heartbeat is not valid JSON: {error}", STEP, name) from error
     if not isinstance(value, dict):
         raise AnnouncementError("heartbeat must be a JSON object", STEP, name)
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -3,26 +3,30 @@
 import json
 
 import pytest
-import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from lycheevalve.coordination.configuration import Outcome
-from lycheevalve.daemon.http import Request
 from lycheevalve.exceptions import (
     AnnouncementError,
     DatagramError,
     SettingsError,
-    UnavailableError,
 )
 from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.flows.upstreams import Upstreams
-from lycheevalve.platform import headers, operators, packets
+from lycheevalve.platform import headers, packets
 from lycheevalve.platform.documents import decompress_document, read_document, read_routes
 from lycheevalve.platform.heartbeats import read_heartbeat
 from lycheevalve.schema.frames import decode_struct, encode_struct
-from lycheevalve.schema.generated.messages import ChangeResult, Configuration, Registration
+from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.tests.fakes.entry import build_registration
+from lycheevalve.tests.fakes.operators import (
+    FakeProcess,
+    build_heartbeat,
+    build_value,
+    call,
+    encode,
+)
 
 SYN = bytes.fromhex("000000001122334400000000a1b2c3d5080000006440000701bb9c41c61200010000")
 RESET = bytes.fromhex("0000000000000000000000000000000004000000c61200019c4101bb644000070000")
@@ -95,30 +99,6 @@
     return headers.HEADER.pack(*fields) + data
 
 
-def build_value(version=7, **changes):
-    """Return a valid configuration with changes to its only route."""
-    route = {
-        "name": "r-1",
-        "host": "198.18.0.1",
-        "pathPrefix": "/443/",
-        "routeType": "safe",
-        "timeoutMs": 1500,
-        "service": "a",
-    }
-    route |= changes
-    return {
-        "version": version,
-        "routes": [{k: v for k, v in route.items() if v is not None}],
-        "services": [{"name": "a"}, {"name": "b"}],
-        "limits": {"idleTimeoutMs": 15000},
-    }
-
-
-def encode(value):
-    """Return a value as the JSON body of a request."""
-    return json.dumps(value).encode()
-
-
 WEIGHTED_BACKENDS = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
 
 
@@ -189,7 +169,7 @@
 
     def test_version_that_cannot_be_encoded_is_refused(self):
         """The replica that proposed it ended; the largest one that can be is accepted."""
-        with pytest.raises(SettingsError, match="target_revision must be an integer of 64"):
+        with pytest.raises(SettingsError, match="from 1 to 9223372036854775807"):
             read_document(encode(build_value(2**63)))
         assert read_document(encode(build_value(2**63 - 1))).revision == 2**63 - 1
 
@@ -233,22 +213,6 @@
             read_document(b"[" * 100_000)
 
 
-def build_heartbeat(**changes):
-    """Return a heartbeat's body."""
-    value = {
-        "service": "nightsync",
-        "address": "10.128.0.9:8080",
-        "zone": "ikeja-a",
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "warmupLeftMs": 0,
-        "sequence": 4,
-        "born": 1_700_000_000_000,
-    } | changes
-    return encode({k: v for k, v in value.items() if v is not None})
-
-
 class TestHeartbeats:
     """Heartbeats of targets, including those of other implementations."""
 
@@ -317,61 +281,6 @@
             pass
 
 
-class FakeProcess:
-    """A control process that records the calls made to it."""
-
-    class Settings:
-        """The settings that the calls read."""
-
-        heartbeat_ms = 770
-        data_centres = ("ikeja-a", "ikeja-b")
-
-    def __init__(self, held=0, leaderless=False):
-        self.settings = self.Settings()
-        self.logic = self
-        self.dissemination = self
-        self.held = Configuration(held)
-        self.leaderless = leaderless
-        self.proposed = []
-        self.announced = []
-        self.deregistered = []
-        self.counted = []
-        self.outcome = Outcome.ACCEPTED
-
-    async def propose(self, change):
-        """Record a change and accept it."""
-        self.require_leader()
-        self.proposed.append(change)
-        return ChangeResult(change.change_id, self.outcome, change.target_revision)
-
-    async def read(self):
-        """Return the newest configuration."""
-        self.require_leader()
-        return Configuration(7, document=read_document(encode(build_value())).text)
-
-    async def announce(self, registration):
-        """Record a registration."""
-        self.announced.append(registration)
-
-    async def deregister(self, name):
-        """Record a deregistration."""
-        self.deregistered.append(name)
-
-    def count_call(self, name, status):
-        """Record an answer."""
-        self.counted.append((name, status))
-
-    def require_leader(self):
-        """Raise UnavailableError when the process has no leader."""
-        if self.leaderless:
-            raise UnavailableError("no leader", "ask leader", "r1")
-
-
-def call(process, method, path, body=b""):
-    """Return the Response to an API call."""
-    return trio.run(operators.answer, process, Request(method, path, body, "peer"))
-
-
 class TestCalls:
     """The API calls of operators and targets."""
 
