Refuse a route whose service is unknown beside weighted backends

Cause: the service was checked only where it gets the flows.

Evidence: the two new cases of test_invalid_route_is_refused failed before ("DID NOT RAISE SettingsError").

Change: a service is checked wherever a route names one. A route may still leave it out, or name a known one, which the weights go before as before.

--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -218,14 +218,15 @@
 
 def check_backends(route, name):
     """Return the names of a route's services; raise SettingsError for invalid backends."""
-    weighted = route.get("weightedBackends")
+    service, weighted = route.get("service"), route.get("weightedBackends")
+    require(
+        service is None or isinstance(service, str), f"route {name}: service must be a string"
+    )
+    # A service beside weighted backends gets no flows, but must be known all the same.
+    services = [service] if service else []
     if weighted is None or weighted == []:
-        service = route.get("service")
-        require(
-            isinstance(service, str) and service,
-            f"route {name}: service must be a non-empty string",
-        )
-        return [service]
+        require(services, f"route {name}: service must be a non-empty string")
+        return services
     require(isinstance(weighted, list), f"route {name}: weightedBackends must be a list")
     for backend in weighted:
         is_valid = isinstance(backend, dict) and isinstance(backend.get("service"), str)
@@ -236,4 +237,4 @@
         )
     total = sum(backend["weight"] for backend in weighted)
     require(total > 0, f"route {name}: at least one weight must be above 0")
-    return [backend["service"] for backend in weighted]
+    return services + [backend["service"] for backend in weighted]
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -125,6 +125,13 @@
         route = FrontDoorRoute(backends, idempotent=False, timeout_seconds=1.5)
         assert routes == {FRONT_DOOR: route}
 
+    @pytest.mark.parametrize("service", ["a", "", None])
+    def test_known_service_beside_weights_is_ignored(self, service):
+        """The check of that service must not refuse a route that names a known one or none."""
+        value = build_value(service=service, weightedBackends=WEIGHTED_BACKENDS)
+        (route,) = read_routes(read_document(encode(value)).text).values()
+        assert route.backends == (("a", 90), ("b", 10))
+
     def test_load_of_a_route(self):
         value = build_value(routeType="upload", targetLatencyMs=800, priority=2)
         value["services"][0] |= {"warmupS": 2.0, "warmupPerS": 0.0}
@@ -151,6 +158,8 @@
             {"service": None, "weightedBackends": [{"service": "a"}]},
             {"service": None, "weightedBackends": [{"service": "a", "weight": -1}]},
             {"service": None, "weightedBackends": "a"},
+            {"service": "unknown", "weightedBackends": WEIGHTED_BACKENDS},
+            {"service": 5, "weightedBackends": WEIGHTED_BACKENDS},
             {"timeoutMs": 0},
             {"timeoutMs": None},
             {"timeoutMs": "1500"},
@@ -164,6 +173,7 @@
         ],
     )
     def test_invalid_route_is_refused(self, changes):
+        """An unknown service beside valid weighted backends was acknowledged."""
         with pytest.raises(SettingsError):
             read_document(encode(build_value(**changes)))
 
