Refuse hosts and path prefixes that only lenient parsers read

What operators saw: a route whose host is "198.18.1" or "198.18.0.1 and more", or whose prefix is "443" or "/4_43/", was acknowledged and put in force for the front door that inet_aton and int make of it.

Cause: the parsers that instances use were the only check.

Change: a host is a dotted IPv4 address, a prefix up to five ASCII digits between slashes. The parsers stay as they are, so that stored configurations are read as before.

--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -5,7 +5,9 @@
 replicated log holds it, compressed, under its revision.
 """
 
+import ipaddress
 import json
+import re
 import socket
 import zlib
 
@@ -19,6 +21,7 @@
 
 STEP = "check configuration"
 MAX_PORT = 65_535
+PATH_PREFIX = re.compile("/[0-9]{1,5}/")
 # Route types whose requests are idempotent, so that callers may repeat them.
 IDEMPOTENT_ROUTE_TYPES = ("safe", "download")
 UPLOAD_ROUTE_TYPE = "upload"
@@ -203,12 +206,22 @@
     )
     for backend in check_backends(route, name):
         require(backend in services, f"route {name}: unknown service {backend!r}")
+    return check_front_door(route, name)
+
+
+def check_front_door(route, name):
+    """Return the (packed address, port) of a route; raise SettingsError for an invalid one."""
+    host, prefix = route.get("host"), route.get("pathPrefix")
+    # Other parsers of addresses and numbers accept more, such as `198.18.1` and `4_43`.
     try:
-        address = read_front_door_address(route)
-    except (KeyError, ValueError, OSError, TypeError, AttributeError) as error:
-        raise SettingsError(
-            f"route {name}: invalid host or pathPrefix: {error!r}", STEP
-        ) from error
+        ipaddress.IPv4Address(host if isinstance(host, str) else "")
+    except ValueError as error:
+        raise SettingsError(f"route {name}: invalid host: {error}", STEP) from error
+    require(
+        isinstance(prefix, str) and PATH_PREFIX.fullmatch(prefix),
+        f"route {name}: pathPrefix must be a port between slashes",
+    )
+    address = read_front_door_address(route)
     require(
         0 < address[1] <= MAX_PORT,
         f"route {name}: the port in pathPrefix must be from 1 to 65535",
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -170,6 +170,18 @@
             {"pathPrefix": "/70000/"},
             {"pathPrefix": None},
             {"name": None},
+            {"host": "198.18.1"},
+            {"host": "0xc6.18.0.1"},
+            {"host": "198.18.0.1 and more"},
+            {"host": "198.18.0.1\0"},
+            {"host": 3_323_068_417},
+            {"pathPrefix": "443"},
+            {"pathPrefix": "/4_43/"},
+            {"pathPrefix": "/+443/"},
+            {"pathPrefix": "/ 443/"},
+            {"pathPrefix": "/٤٤٣/"},
+            {"pathPrefix": "/443/\n"},
+            {"pathPrefix": "/0/"},
         ],
     )
     def test_invalid_route_is_refused(self, changes):
