Keep the earlier routes when a stored configuration is unreadable

At a control replica each lookup of a starting instance failed.

Cause: the error of reading it left the handler of the message that brought it. The revision counted as applied before it was, so that after any other error there it would have been reported, and never applied.

Change: Dissemination keeps the applied configuration when the newer one is unreadable, logs not_applied with the reason, once for each revision, and goes on to the next revision. After any other error the applied revision is the earlier one too, and the next attempt applies it again. Control replicas read the routes when they apply a configuration instead of at a lookup, and keep the earlier ones in the same way.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -84,12 +84,11 @@
             send=self.send_fetch,
             neighbours=list,
             others=list,
-            apply=lambda configuration, now: self.observe(
-                "in_force", revision=configuration.revision
-            ),
+            apply=self.apply_configuration,
             random=self.random,
             started_at=self.now,
             ready=True,
+            observe=self.observe,
         )
         self.evacuations = AppliedEvacuations(self.apply_evacuations)
         self.checks = UpstreamChecks(self.lookups.cookies.find, self.list_serving)
@@ -179,9 +178,6 @@
 
     def answer_lookup(self, lookup, now):
         """Return the Answer to a Lookup of an instance that has just started."""
-        applied = self.dissemination.applied
-        if lookup.front_doors and applied.revision != self.lookups.revision:
-            self.lookups.set_routes(self.read_routes(applied.document), applied.revision)
         # Registrations from disk may be those of upstreams that drain or have left: most other
         # replicas must have sent theirs.
         is_informed = self.current and self.subscriptions.reaches_most(now)
@@ -326,6 +322,17 @@
         self.dissemination.handle_commit(configuration, changes, now)
         self.answer_pending(now)
 
+    def apply_configuration(self, configuration, now):
+        """
+        Apply a configuration: answer lookups with its routes.
+
+        Raise SettingsError, and keep the routes, if its document is unreadable.
+        """
+        self.lookups.set_routes(
+            self.read_routes(configuration.document), configuration.revision
+        )
+        self.observe("in_force", revision=configuration.revision)
+
     def apply_evacuations(self, data_centres, now):
         """Apply the operators' evacuations."""
         self.upstreams.set_evacuated(data_centres, now)
--- a/lycheevalve/coordination/dissemination.py
+++ b/lycheevalve/coordination/dissemination.py
@@ -13,6 +13,7 @@
 import attrs
 
 from lycheevalve.coordination.configuration import apply_change
+from lycheevalve.exceptions import SettingsError
 from lycheevalve.schema.generated.messages import Configuration, Digest, Fetch, Fetched
 
 FETCH_TIMEOUT_SECONDS = 0.4
@@ -44,7 +45,8 @@
     live instances of its data centre and `others()` those of all peers, both
     without this instance; `bridges` are the peers outside its group, which
     membership pings do not reach; `apply(configuration, now)` puts a configuration
-    in force.
+    in force, or raises SettingsError if it is unreadable; `observe(name, **details)`
+    records an event.
     """
 
     send: object
@@ -64,6 +66,9 @@
     fetch_sent_at: float = float("-inf")
     # Whether the start is complete; nothing is applied before.
     ready: bool = False
+    observe: object = lambda name, **details: None
+    # The latest revision that turned out to be unreadable. The one before it stays applied.
+    unreadable_revision: int = 0
 
     def build_digest(self):
         """Return the Digest of this instance's revisions."""
@@ -143,14 +148,28 @@
 
     def apply_if_safe(self, now):
         """Apply the held configuration if a neighbour holds it too or there are none."""
-        if not self.ready or self.held.revision <= self.applied.revision:
+        tried = max(self.applied.revision, self.unreadable_revision)
+        if not self.ready or self.held.revision <= tried:
             return
         neighbours = list(self.neighbours())
         reported = [self.peers[name] for name in neighbours if name in self.peers]
         held_by_neighbour = any(peer.held >= self.held.revision for peer in reported)
         if held_by_neighbour or not neighbours:
-            self.applied = self.held
+            self.apply_held(now)
+
+    def apply_held(self, now):
+        """Apply the held configuration; keep the applied one if it is unreadable."""
+        earlier, self.applied = self.applied, self.held
+        try:
             self.apply(self.applied, now)
+        except SettingsError as error:
+            self.applied = earlier
+            self.unreadable_revision = self.held.revision
+            self.observe("not_applied", revision=self.held.revision, reason=str(error))
+        except Exception:
+            # The next attempt applies it again.
+            self.applied = earlier
+            raise
 
     def tick(self, now):
         """Update readiness, and repeat messages that may have been lost."""
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -120,6 +120,7 @@
             apply=self.apply_configuration,
             random=self.random,
             started_at=self.now,
+            observe=self.observe,
         )
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.cookie_router.tick, self.now)
         self.timers.subscribe(TICK_INTERVAL_SECONDS, self.dissemination.tick, self.now)
@@ -377,7 +378,7 @@
             self.observe("upstream", registration=registration, source=sender)
 
     def apply_configuration(self, configuration, now):
-        """Apply a configuration: replace the routes."""
+        """Replace the routes; raise SettingsError, and keep them, if they are unreadable."""
         self.cookie_router.set_routes(self.read_routes(configuration.document), now)
         self.observe("in_force", revision=configuration.revision)
 
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -131,6 +131,12 @@
         {"cookie": int, "reachable": bool},
     ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
+    Event(
+        "not_applied",
+        ERROR,
+        "A configuration is unreadable; the earlier one stays in effect on this instance.",
+        {"revision": int, "reason": str},
+    ),
     Event(
         "ready",
         INFO,
--- a/lycheevalve/logs/timeline.py
+++ b/lycheevalve/logs/timeline.py
@@ -32,6 +32,7 @@
         "thawed",
         "ready",
         "in_force",
+        "not_applied",
         "replica",
         "replica_stopped",
         "source_lost",
