--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -131,6 +131,12 @@
         {"cookie": int, "reachable": bool},
     ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
+    Event(
+        "not_applied",
+        ERROR,
+        "A configuration is unreadable; the earlier one stays in effect on this instance.",
+        {"revision": int, "reason": str},
+    ),
     Event(
         "ready",
         INFO,
@@ -268,7 +274,7 @@
         "announcement_refused",
         WARNING,
         "An announcement of an upstream was refused.",
-        {"reason": str},
+        {"reason": str, "peer": str},
     ),
 )
 PROCESS_EVENTS = (
@@ -336,9 +342,16 @@
     Event(
         "task_failed",
         ERROR,
-        "An error ended one unit of work; `place` is the file and line that raised it.",
+        "An error ended one unit of work; `place` is the module and line that it passed last.",
         {"task": str, "peer": str, "error": str, "place": str},
     ),
+    Event(
+        "answer_failed",
+        WARNING,
+        "An HTTP answer could not be written; its connection was closed.",
+        {"peer": str, "reason": str},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
 )
 
 EVENTS = {
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -3,25 +3,30 @@
 import json
 
 import pytest
-import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from lycheevalve.coordination.configuration import Outcome
-from lycheevalve.daemon.http import Request
 from lycheevalve.exceptions import (
     AnnouncementError,
     DatagramError,
     SettingsError,
-    UnavailableError,
 )
 from lycheevalve.flows.front_doors import FrontDoorRoute
 from lycheevalve.flows.upstreams import Upstreams
-from lycheevalve.platform import headers, operators, packets
+from lycheevalve.platform import headers, packets
 from lycheevalve.platform.documents import decompress_document, read_document, read_routes
 from lycheevalve.platform.heartbeats import read_heartbeat
-from lycheevalve.schema.generated.messages import ChangeResult, Configuration
+from lycheevalve.schema.frames import decode_struct, encode_struct
+from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.tests.fakes.entry import build_registration
+from lycheevalve.tests.fakes.operators import (
+    FakeProcess,
+    build_heartbeat,
+    build_value,
+    call,
+    encode,
+)
 
 SYN = bytes.fromhex("000000001122334400000000a1b2c3d5080000006440000701bb9c41c61200010000")
 RESET = bytes.fromhex("0000000000000000000000000000000004000000c61200019c4101bb644000070000")
@@ -94,30 +99,6 @@
     return headers.HEADER.pack(*fields) + data
 
 
-def build_value(version=7, **changes):
-    """Return a valid configuration with changes to its only route."""
-    route = {
-        "name": "r-1",
-        "host": "198.18.0.1",
-        "pathPrefix": "/443/",
-        "routeType": "safe",
-        "timeoutMs": 1500,
-        "service": "a",
-    }
-    route |= changes
-    return {
-        "version": version,
-        "routes": [{k: v for k, v in route.items() if v is not None}],
-        "services": [{"name": "a"}, {"name": "b"}],
-        "limits": {"idleTimeoutMs": 15000},
-    }
-
-
-def encode(value):
-    """Return a value as the JSON body of a request."""
-    return json.dumps(value).encode()
-
-
 WEIGHTED_BACKENDS = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
 
 
@@ -144,6 +125,13 @@
         route = FrontDoorRoute(backends, idempotent=False, timeout_seconds=1.5)
         assert routes == {FRONT_DOOR: route}
 
+    @pytest.mark.parametrize("service", ["a", "", None])
+    def test_known_service_beside_weights_is_ignored(self, service):
+        """The check of that service must not refuse a route that names a known one or none."""
+        value = build_value(service=service, weightedBackends=WEIGHTED_BACKENDS)
+        (route,) = read_routes(read_document(encode(value)).text).values()
+        assert route.backends == (("a", 90), ("b", 10))
+
     def test_load_of_a_route(self):
         value = build_value(routeType="upload", targetLatencyMs=800, priority=2)
         value["services"][0] |= {"warmupS": 2.0, "warmupPerS": 0.0}
@@ -170,6 +158,8 @@
             {"service": None, "weightedBackends": [{"service": "a"}]},
             {"service": None, "weightedBackends": [{"service": "a", "weight": -1}]},
             {"service": None, "weightedBackends": "a"},
+            {"service": "unknown", "weightedBackends": WEIGHTED_BACKENDS},
+            {"service": 5, "weightedBackends": WEIGHTED_BACKENDS},
             {"timeoutMs": 0},
             {"timeoutMs": None},
             {"timeoutMs": "1500"},
@@ -180,12 +170,31 @@
             {"pathPrefix": "/70000/"},
             {"pathPrefix": None},
             {"name": None},
+            {"host": "198.18.1"},
+            {"host": "0xc6.18.0.1"},
+            {"host": "198.18.0.1 and more"},
+            {"host": "198.18.0.1\0"},
+            {"host": 3_323_068_417},
+            {"pathPrefix": "443"},
+            {"pathPrefix": "/4_43/"},
+            {"pathPrefix": "/+443/"},
+            {"pathPrefix": "/ 443/"},
+            {"pathPrefix": "/٤٤٣/"},
+            {"pathPrefix": "/443/\n"},
+            {"pathPrefix": "/0/"},
         ],
     )
     def test_invalid_route_is_refused(self, changes):
+        """An unknown service beside valid weighted backends was acknowledged."""
         with pytest.raises(SettingsError):
             read_document(encode(build_value(**changes)))
 
+    def test_version_that_cannot_be_encoded_is_refused(self):
+        """The replica that proposed it ended; the largest one that can be is accepted."""
+        with pytest.raises(SettingsError, match="from 1 to 9223372036854775807"):
+            read_document(encode(build_value(2**63)))
+        assert read_document(encode(build_value(2**63 - 1))).revision == 2**63 - 1
+
     @pytest.mark.parametrize("version", [0, -1, 1.5, "7", None, True])
     def test_version_must_be_a_positive_integer(self, version):
         with pytest.raises(SettingsError, match="version"):
@@ -226,22 +235,6 @@
             read_document(b"[" * 100_000)
 
 
-def build_heartbeat(**changes):
-    """Return a heartbeat's body."""
-    value = {
-        "service": "nightsync",
-        "address": "10.128.0.9:8080",
-        "zone": "ikeja-a",
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "warmupLeftMs": 0,
-        "sequence": 4,
-        "born": 1_700_000_000_000,
-    } | changes
-    return encode({k: v for k, v in value.items() if v is not None})
-
-
 class TestHeartbeats:
     """Heartbeats of targets, including those of other implementations."""
 
@@ -270,12 +263,33 @@
             {"born": "now"},
             {"born": True},
             {"zone": []},
+            {"slots": 2**31},
+            {"warmupLeftMs": 2**31},
+            {"sequence": 2**63},
+            {"service": "night\ud800sync"},
+            {"zone": "ikeja\udfff"},
+            {"address": "10.128.0.9:8080\udfff"},
+            {"service": "s" * 256},
+            {"zone": "z" * 4096},
         ],
     )
     def test_invalid_heartbeat_is_refused(self, changes):
+        """One that can't be encoded for other processes ended the one that took it."""
         with pytest.raises(AnnouncementError):
             read_heartbeat("i-7", build_heartbeat(**changes), 770)
 
+    def test_largest_values_are_read(self):
+        """The limits must not refuse what can be encoded."""
+        body = build_heartbeat(slots=2**31 - 1, warmupLeftMs=2**31 - 1, service="s" * 255)
+        registration = read_heartbeat("i" * 255, body, 770)
+        assert decode_struct(Registration, encode_struct(registration)) == registration
+
+    @pytest.mark.parametrize("name", ["", "i" * 256])
+    def test_id_of_a_wrong_length_is_refused(self, name):
+        """A longer id is cut in answers to lookups, so that it is that of another target."""
+        with pytest.raises(AnnouncementError, match="id must have 1 to 255 characters"):
+            read_heartbeat(name, build_heartbeat(), 770)
+
     @pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"null", b"[" * 99_999])
     def test_unparsable_body_is_refused(self, body):
         with pytest.raises(AnnouncementError):
@@ -289,61 +303,6 @@
             pass
 
 
-class FakeProcess:
-    """A control process that records the calls made to it."""
-
-    class Settings:
-        """The settings that the calls read."""
-
-        heartbeat_ms = 770
-        data_centres = ("ikeja-a", "ikeja-b")
-
-    def __init__(self, held=0, leaderless=False):
-        self.settings = self.Settings()
-        self.logic = self
-        self.dissemination = self
-        self.held = Configuration(held)
-        self.leaderless = leaderless
-        self.proposed = []
-        self.announced = []
-        self.deregistered = []
-        self.counted = []
-        self.outcome = Outcome.ACCEPTED
-
-    async def propose(self, change):
-        """Record a change and accept it."""
-        self.require_leader()
-        self.proposed.append(change)
-        return ChangeResult(change.change_id, self.outcome, change.target_revision)
-
-    async def read(self):
-        """Return the newest configuration."""
-        self.require_leader()
-        return Configuration(7, document=read_document(encode(build_value())).text)
-
-    async def announce(self, registration):
-        """Record a registration."""
-        self.announced.append(registration)
-
-    async def deregister(self, name):
-        """Record a deregistration."""
-        self.deregistered.append(name)
-
-    def count_call(self, name, status):
-        """Record an answer."""
-        self.counted.append((name, status))
-
-    def require_leader(self):
-        """Raise UnavailableError when the process has no leader."""
-        if self.leaderless:
-            raise UnavailableError("no leader", "ask leader", "r1")
-
-
-def call(process, method, path, body=b""):
-    """Return the Response to an API call."""
-    return trio.run(operators.answer, process, Request(method, path, body, "peer"))
-
-
 class TestCalls:
     """The API calls of operators and targets."""
 
@@ -394,6 +353,32 @@
         assert call(process, "POST", path, b"\x00").status == 400
         assert process.announced == []
 
+    @pytest.mark.parametrize(
+        ("path", "body"),
+        [
+            ("/Instances.Heartbeat/i-7", build_heartbeat(service="night\ud800sync")),
+            ("/Instances.Heartbeat/i-7", build_heartbeat(slots=2**31)),
+            ("/Instances.Heartbeat/", build_heartbeat()),
+            ("/Instances.Deregister/", b""),
+            ("/Instances.Deregister/" + "i" * 256, b""),
+            ("/Config.Replace", encode(build_value(2**63))),
+        ],
+    )
+    def test_call_that_cannot_be_encoded_is_refused_with_a_reason(self, path, body):
+        """Such a call was acknowledged, and ended the process that encoded it later."""
+        process = FakeProcess()
+        response = call(process, "POST", path, body)
+        assert response.status == 400
+        assert json.loads(response.body)["error"]
+        assert process.announced == process.proposed == process.deregistered == []
+
+    def test_order_that_cannot_be_encoded_is_refused(self, monkeypatch):
+        """The name of a data centre comes from the path, where the site has no list of them."""
+        monkeypatch.setattr(FakeProcess.Settings, "data_centres", ())
+        process = FakeProcess()
+        assert call(process, "POST", "/Evacuations.Start/ikeja\ud800").status == 400
+        assert process.proposed == []
+
     @pytest.mark.parametrize(
         ("verb", "orders"),
         [("Start", (["ikeja-a"], [])), ("Stop", ([], ["ikeja-a"]))],
