Log and record why a process ends, and count it at the next start

Operators saw that a process had ended, with a traceback at most: its log had no line about it, and once the log was gone nothing was left. A killed process could not be distinguished from one that had an error.

An error that leaves the process is logged as its last line, `ended`, with exit code, reason, error, place and step. A process with a data folder records in run.json that it runs, after its start, and how it ended. The next start logs that as `previous_end` and counts it in previous_ends{reason}: a record that still says "running" is an end without a last line. A full disk is logged and tried again, a damaged record counts as an unknown end. start_time_seconds shows restarts of instances without a data folder.

--- a/lycheevalve/daemon/exposition.py
+++ b/lycheevalve/daemon/exposition.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lycheevalve import __version__
+from lycheevalve.daemon.ends import current_run
 from lycheevalve.daemon.http import Response, Server
 from lycheevalve.logs.queue import queue
 from lycheevalve.utils.imports import load_module
@@ -45,8 +46,18 @@
     left_out = {(name,): count for name, count in queue.left_out_total.items()}
     build = Metric("gauge", "build_info", "1, labelled with the version.", ("version",))
     build.samples.append(((__version__,), 1))
+    ends = {(reason,): count for reason, count in current_run.previous_ends.items()}
     return [
         build,
+        gauge(
+            "start_time_seconds", "Unix time of the process's start.", current_run.started_at
+        ),
+        counter(
+            "previous_ends",
+            "Ends of earlier processes that used this data folder.",
+            ("reason",),
+            ends,
+        ),
         counter(
             "log_lines_left_out",
             "Events left out of the log by the rate limit or a full queue.",
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -283,6 +283,30 @@
         {},
     ),
     Event("stopped", INFO, "The process stopped.", {}),
+    Event(
+        "ended",
+        ERROR,
+        "The last line of a process that an error ended while it did `step`.",
+        {"code": int, "reason": str, "error": str, "place": str, "step": str},
+    ),
+    Event(
+        "previous_end",
+        INFO,
+        "How the previous process of this data folder ended; `lost` without a last line.",
+        {"reason": str, "error": str, "place": str, "step": str},
+    ),
+    Event(
+        "run_not_recorded",
+        WARNING,
+        "The start or end of this process could not be recorded in its data folder.",
+        {"reason": str},
+    ),
+    Event(
+        "instance_restarted",
+        INFO,
+        "Another process polls from this address, `silent_ms` after the previous one.",
+        {"peer": str, "role": str, "data_centre": str, "silent_ms": int},
+    ),
     Event("reloaded", INFO, "Settings were reloaded.", {"changed": list, "warnings": list}),
     Event(
         "not_reloaded",
