--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -7,6 +7,7 @@
 
 from lycheevalve import __version__
 from lycheevalve.config.roles import link_address, link_addresses
+from lycheevalve.daemon.ends import record_start
 from lycheevalve.daemon.events import Received, Reload, Stop
 from lycheevalve.daemon.exposition import make_server
 from lycheevalve.daemon.links import make_codec_factory, serve_links
@@ -60,6 +61,7 @@
             record(
                 "started", role=self.settings.role, address=self.address, version=__version__
             )
+            nursery.start_soon(record_start)
             await self.run_events()
             nursery.cancel_scope.cancel()
         record("stopped")
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -1,5 +1,6 @@
 """Runs an entry instance or a control replica: settings, logs and signals."""
 
+import functools
 import os
 import signal
 import sys
@@ -8,6 +9,7 @@
 
 from lycheevalve.config.instance import changed_options
 from lycheevalve.config.roles import ENTRY, OPTIONS, load_role_settings
+from lycheevalve.daemon.ends import run_to_end
 from lycheevalve.daemon.events import Reload, Stop
 from lycheevalve.exceptions import LycheevalveError
 from lycheevalve.logs.queue import record, set_up_logs, writer
@@ -103,8 +105,5 @@
     set_up_logs(settings.log_level, instance=settings.name)
     if early_error:
         record("early_unavailable", reason=early_error)
-    try:
-        trio.run(run_process, settings, path, early)
-    finally:
-        writer.close()
-    return 0
+    process = functools.partial(trio.run, run_process, settings, path, early)
+    return run_to_end(process, settings.data_folder)
