Log and count at control replicas that an instance was started again

An entry instance has no disk, so nothing showed that it had ended once its own log was gone. A control replica sees the incarnation of each process that polls it: another one from the same address is logged as `instance_restarted` with the time since the last poll, and counted by role.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -99,6 +99,7 @@
             self.dissemination,
             self.evacuations,
             self.checks,
+            self.observe,
             self.now,
             self.data_centre,
         )
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -27,6 +27,8 @@
 SETTLE_SECONDS = 1.5
 # Polls from the same version share one answer for this long; its lease times age meanwhile.
 ANSWER_REUSE_SECONDS = 0.1
+# The role of a subscriber by `is_control`.
+ROLE_NAMES = {False: "entry", True: "control"}
 
 
 @attrs.define
@@ -47,6 +49,8 @@
     """
     The updates of one control replica. Times are seconds of the owner's clock.
 
+    `observe(name, **details)` logs an event.
+
     `number` identifies this start of the feed, since versions restart with it;
     `upstreams` is the table of flows/upstreams.py; `dissemination` holds the
     configuration, `evacuations` is the AppliedEvacuations of evacuations.py, and `checks` the
@@ -58,6 +62,7 @@
     dissemination: object
     evacuations: object
     checks: object
+    observe: object
     started_at: float
     data_centre: str = ""
     version: int = 0
@@ -74,6 +79,8 @@
     # The addresses of the subscribers that are control replicas.
     control_addresses: set[str] = attrs.field(factory=set)
     settled: bool = False
+    # The number of restarts of subscribers by role.
+    restarts: collections.Counter = attrs.field(factory=collections.Counter)
     # The last answers, by what they depend on, and when the first of them was built.
     answers: dict[tuple, News] = attrs.field(factory=dict)
     answers_since: float = float("-inf")
@@ -115,6 +122,9 @@
     def record_poll(self, poll, now):
         """Update a subscriber from its poll; return the version that it has received."""
         version = poll.version if poll.feed == self.number else 0
+        previous = self.subscribers.get(poll.address)
+        if previous is not None and previous.incarnation != poll.process:
+            self.report_restart(previous, now)
         self.subscribers[poll.address] = Subscriber(
             poll.address,
             poll.data_centre,
@@ -128,6 +138,18 @@
             self.control_addresses.add(poll.address)
         return version
 
+    def report_restart(self, previous, now):
+        """Count and log that another process polls from the address of a subscriber."""
+        role = ROLE_NAMES[previous.is_control]
+        self.restarts[role] += 1
+        self.observe(
+            "instance_restarted",
+            peer=previous.address,
+            role=role,
+            data_centre=previous.data_centre,
+            silent_ms=round((now - previous.polled_at) * 1000),
+        )
+
     def live_subscribers(self, now):
         """Return the subscribers that polled recently."""
         return [s for s in self.subscribers.values() if is_live(s, now)]
--- a/lycheevalve/tests/test_feeds.py
+++ b/lycheevalve/tests/test_feeds.py
@@ -3,6 +3,7 @@
 from lycheevalve.coordination.dissemination import STARTUP_TIMEOUT_SECONDS
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS, SETTLE_SECONDS
 from lycheevalve.coordination.subscriptions import SOURCE_EVICTION_SECONDS
+from lycheevalve.logs.schema import validate_event
 from lycheevalve.schema.generated.messages import Fetch
 from lycheevalve.tests.fakes.control_cluster import ControlCluster
 from lycheevalve.tests.fakes.entry import (
@@ -273,3 +274,34 @@
         cluster.stop(failed)
         cluster.run(SOURCE_EVICTION_SECONDS * 2 + 10.0)
         assert failed not in entry.subscriptions.sources
+
+
+class TestRestarts:
+    """A control replica reports processes that were started again."""
+
+    def test_restarts_are_logged_and_counted_by_role(self):
+        """Guards against instances without a disk whose ends nothing shows."""
+        cluster = build_cluster()
+        feed, events = cluster.running[cluster.seeds[0]].feed, []
+        feed.observe = lambda name, **details: events.append((name, details))
+        cluster.start_entry(cluster.entries[1])
+        cluster.start_control(cluster.seeds[1])
+        cluster.run(2.0)
+        cluster.start_entry(cluster.entries[1])
+        cluster.run(2.0)
+        assert feed.restarts == {"entry": 2, "control": 1}
+        restarted = [details["peer"] for _, details in events]
+        assert sorted(restarted) == sorted([cluster.entries[1]] * 2 + [cluster.seeds[1]])
+        for name, details in events:
+            assert validate_event(name, details) == []
+
+    def test_first_polls_and_lost_connections_are_no_restarts(self):
+        cluster = build_cluster()
+        feed = cluster.running[cluster.seeds[0]].feed
+        pair = frozenset((cluster.seeds[0], cluster.entries[0]))
+        cluster.cuts.add(pair)
+        cluster.run(3.0)
+        cluster.cuts.discard(pair)
+        cluster.run(3.0)
+        assert feed.subscribers[cluster.entries[0]].polled_at > cluster.now - 2.0
+        assert not feed.restarts
