--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -184,6 +184,12 @@
                 logic.dissemination.held.revision,
             ),
             gauge("subscribers", "Processes that poll here.", subscribers),
+            counter(
+                "instance_restarts",
+                "Restarts of processes that poll here.",
+                ("role",),
+                {(role,): count for role, count in logic.feed.restarts.items()},
+            ),
             counter("calls", "Answers to API calls.", ("call", "status"), self.calls),
             count_upstreams(logic.upstreams, now),
         ]
--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -23,6 +23,7 @@
 from lycheevalve.logs.queue import LogQueue, Output, Writer
 from lycheevalve.logs.schema import validate_event
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
+from lycheevalve.utils.addresses import format_address
 
 
 def read_metric(process, name):
@@ -39,6 +40,11 @@
     }
 
 
+def entry_address(entry):
+    """Return the address from which an entry instance polls."""
+    return format_address(entry.link_address())
+
+
 def read_state(process):
     """Return the state in the record of a process's data folder, or None without one."""
     path = process.folder / f"data-{process.settings['name']}" / FILE_NAME
@@ -188,16 +194,23 @@
         reasons = [event["reason"] for event in replica.read_events("previous_end")]
         assert reasons == ["stopped", "lost", "lost"]
 
-    def test_instance_without_a_data_folder(self, tmp_path):
+    def test_control_replica_reports_instances_that_restart(self, tmp_path):
+        """Guards against ends of instances without a disk that nothing shows."""
         replica = build_control(tmp_path).start().wait_until_started()
-        entry = build_entry(tmp_path, replica).start()
+        entry = build_entry(tmp_path, replica).start().wait_until_started()
         try:
-            entry.wait_until_started()
-            assert read_metric(entry, "start_time_seconds")[()] > 0
+            wait_for(lambda: entry.read_events("source_reached"))
+            started_at = read_metric(entry, "start_time_seconds")[()]
             assert read_metric(entry, "previous_ends_total") == {}
+            entry.stop()
+            entry.start().wait_until_started()
+            [restart] = wait_for(lambda: replica.read_events("instance_restarted"))
+            assert read_metric(entry, "start_time_seconds")[()] > started_at
+            assert read_metric(replica, "instance_restarts_total") == {("entry",): 1}
             entry.process.send_signal(signal.SIGTERM)
             assert entry.process.wait() == 0
-            assert entry.read_events()[-1]["event"] == "stopped"
         finally:
             entry.stop()
             replica.stop()
+        assert (restart["peer"], restart["role"]) == (entry_address(entry), "entry")
+        assert entry.read_events()[-1]["event"] == "stopped"
