Explain the starts, failed tasks and ends of instances from logs

`explain` had an answer for requests and flows only: which process had ended, and why, had to be read from all logs by hand; a traceback was listed as invalid lines.

An instance's name as the subject, or "ends" for all, lists starts, ends, errors and what preceded each end in all logs. Text belongs to the run whose line precedes it in its file; the first line of a process, `starting`, is new, and queued events are written before a traceback: in a trial a failed start's traceback was attributed to the killed run before it.

--- a/lycheevalve/daemon/ends.py
+++ b/lycheevalve/daemon/ends.py
@@ -6,6 +6,7 @@
 """
 
 import faulthandler
+import os
 import signal
 import sys
 import time
@@ -15,6 +16,7 @@
 import attrs
 import trio
 
+from lycheevalve import __version__
 from lycheevalve.coordination.run_record import (
     ERROR,
     RUNNING,
@@ -75,11 +77,12 @@
 
 def run_to_end(function, folder=""):
     """
-    Call `function()`, log how it ended, and return the exit code of the process.
+    Log the start, call `function()`, log how it ended, and return the exit code.
 
     `folder` is the data folder, or empty.
     """
     current_run.folder = Path(folder) if folder else None
+    record("starting", pid=os.getpid(), version=__version__)
     # A crash in native code writes its stack to standard error.
     faulthandler.enable(sys.__stderr__)
     try:
@@ -94,6 +97,8 @@
     cause = find_cause(error)
     code, reason = next((c, r) for kind, c, r in EXITS if isinstance(cause, kind))
     if cause is not None and not isinstance(cause, EXPLAINED_ERRORS):
+        # After the lines of what preceded it.
+        write_log()
         traceback.print_exception(error)
     details = {
         "code": code,
@@ -111,12 +116,20 @@
             place=details["place"],
             step=details["step"],
         )
+    failure = write_log()
+    if failure is not None:
+        print(f"lycheevalve: ended, {reason}: {details}; no log: {failure!r}", file=sys.stderr)
+    return code
+
+
+def write_log():
+    """Write the queued events; return the error if they can't be written, or None."""
     try:
         writer.close()
-    except Exception as failure:
+    except Exception as error:
         # Formatting needs memory and descriptors, which may be what is missing.
-        print(f"lycheevalve: ended, {reason}: {details}; no log: {failure!r}", file=sys.stderr)
-    return code
+        return error
+    return None
 
 
 def find_cause(error):
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -272,6 +272,12 @@
     ),
 )
 PROCESS_EVENTS = (
+    Event(
+        "starting",
+        INFO,
+        "The first line of a process, before it opens its addresses and files.",
+        {"pid": int, "version": str},
+    ),
     Event(
         "started", INFO, "The process started.", {"role": str, "address": str, "version": str}
     ),
--- a/lycheevalve/logs/timeline.py
+++ b/lycheevalve/logs/timeline.py
@@ -29,6 +29,9 @@
         "started",
         "leaving",
         "stopped",
+        "ended",
+        "previous_end",
+        "task_failed",
         "thawed",
         "ready",
         "in_force",
@@ -54,19 +57,25 @@
 
 @attrs.frozen
 class Line:
-    """One event of one process; `at` is in Unix seconds."""
+    """One event of one process, with its place `file:number`; `at` is in Unix seconds."""
 
     at: float
     instance: str
     event: str
     fields: dict
+    place: str = ""
 
 
 @attrs.define
 class ParsedLogs:
-    """The events of several log files in order of time, and the lines that are invalid."""
+    """
+    The events of several log files in order of time, and the lines that are invalid.
+
+    `files` has the lines of each file in their order: a Line, or the text of an invalid one.
+    """
 
     lines: list = attrs.field(factory=list)
+    files: dict = attrs.field(factory=dict)
     bad_count: int = 0
     bad_places: list = attrs.field(factory=list)
 
@@ -92,15 +101,18 @@
     """Return the ParsedLogs of {name: lines}; text before the JSON of a line is skipped."""
     logs = ParsedLogs()
     for name, texts in files.items():
-        for number, text in enumerate(texts, start=1):
-            if text.strip():
-                parse_line(f"{name}:{number}", text, logs)
+        logs.files[name] = [
+            parse_line(f"{name}:{number}", text, logs) or text
+            for number, text in enumerate(texts, start=1)
+            if text.strip()
+        ]
+        logs.lines += [line for line in logs.files[name] if isinstance(line, Line)]
     logs.lines.sort(key=lambda line: line.at)
     return logs
 
 
 def parse_line(place, text, logs):
-    """Parse one line; record the reason if it is invalid."""
+    """Return the Line of a text, or None after the reason why it is invalid was recorded."""
     _, brace, rest = text.partition("{")
     try:
         value = json.loads(brace + rest)
@@ -109,10 +121,11 @@
             instance=str(value.pop("instance", "")),
             event=value.pop("event"),
             fields=value,
+            place=place,
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         logs.add_bad_line(place, f"not an event: {error!r}")
-        return
+        return None
     value.pop("level", None)
     value.pop("site", None)
     errors = (
@@ -122,8 +135,8 @@
     )
     if errors:
         logs.add_bad_line(place, errors[0])
-        return
-    logs.lines.append(line)
+        return None
+    return line
 
 
 def build_timeline(subject, lines):
