--- a/lycheevalve/daemon/datagrams.py
+++ b/lycheevalve/daemon/datagrams.py
@@ -11,10 +11,14 @@
 def open_datagram_socket(address):
     """Return a non-blocking UDP socket bound to (ip, port)."""
     opened = socket(AF_INET, SOCK_DGRAM)
-    opened.setblocking(False)
-    for option in (SO_RCVBUF, SO_SNDBUF):
-        opened.setsockopt(SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
-    opened.bind(address)
+    try:
+        opened.setblocking(False)
+        for option in (SO_RCVBUF, SO_SNDBUF):
+            opened.setsockopt(SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        opened.bind(address)
+    except OSError:
+        opened.close()
+        raise
     return opened
 
 
--- a/lycheevalve/exceptions.py
+++ b/lycheevalve/exceptions.py
@@ -40,5 +40,9 @@
     """A change conflicts with an accepted one or was refused."""
 
 
+class AddressError(LycheevalveError):
+    """A process can't listen on one of its addresses."""
+
+
 class UnavailableError(LycheevalveError):
     """There is no quorum, or a peer can't be reached."""
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -275,6 +275,18 @@
     Event(
         "started", INFO, "The process started.", {"role": str, "address": str, "version": str}
     ),
+    Event(
+        "address_unavailable",
+        WARNING,
+        "The process can't listen on an address yet, and tries again.",
+        {"step": str, "address": str, "reason": str, "waited_ms": int},
+    ),
+    Event(
+        "address_available",
+        INFO,
+        "The process listens on an address that was unavailable at first.",
+        {"step": str, "address": str, "waited_ms": int},
+    ),
     Event("leaving", INFO, "The graceful stop started.", {}),
     Event(
         "stopping_early",
--- /dev/null
+++ b/lycheevalve/tests/test_listeners.py
@@ -0,0 +1,96 @@
+"""Addresses that are in use or not available when a process starts."""
+
+import errno
+import os
+import socket
+
+import pytest
+import trio
+import trio.testing
+
+from lycheevalve.daemon import listeners
+from lycheevalve.exceptions import AddressError
+from lycheevalve.logs.queue import queue
+
+TCP, UDP = socket.SOCK_STREAM, socket.SOCK_DGRAM
+ADDRESS = "127.0.0.1:9000"
+
+
+def hold(address, kind):
+    """Return a socket that keeps other processes from using an address."""
+    opened = socket.socket(socket.AF_INET, kind)
+    opened.bind(address)
+    if kind == TCP:
+        opened.listen()
+    return opened
+
+
+class TestRetries:
+    """Which errors are retried, and how that is logged."""
+
+    @pytest.fixture(autouse=True)
+    def empty_queue(self):
+        """Leave no events of other tests in the log queue."""
+        queue.records.clear()
+        yield
+        queue.records.clear()
+
+    def open(self, numbers):
+        """Return what is opened after OSErrors of these numbers, and the events logged."""
+        errors = iter(numbers)
+
+        def open_socket(address):
+            assert address == ("127.0.0.1", 9000)
+            number = next(errors, None)
+            if number is not None:
+                raise OSError(number, os.strerror(number))
+            return "socket"
+
+        async def main():
+            return await listeners.open_when_available("listen", ADDRESS, open_socket)
+
+        opened = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return opened, [(event.name, fields) for _, event, fields in queue.records]
+
+    def test_an_available_address_is_not_logged(self):
+        assert self.open([]) == ("socket", [])
+
+    @pytest.mark.parametrize("number", sorted(listeners.TRANSIENT_ERRORS))
+    def test_errors_that_pass_are_retried(self, number):
+        opened, events = self.open([number] * 3)
+        assert opened == "socket"
+        assert [name for name, _ in events] == ["address_unavailable", "address_available"]
+        assert events[0][1]["address"] == ADDRESS
+        assert os.strerror(number) in events[0][1]["reason"]
+        assert events[1][1]["waited_ms"] == 300
+
+    def test_a_long_wait_is_logged_at_intervals(self):
+        waits = round(12 / listeners.RETRY_INTERVAL_SECONDS)
+        _, events = self.open([errno.EADDRINUSE] * waits)
+        waited = [
+            fields["waited_ms"] for name, fields in events if name == "address_unavailable"
+        ]
+        assert len(waited) == 3
+        assert waited[0] == 0
+        assert waited[2] >= 10_000
+
+    @pytest.mark.parametrize("number", [errno.EACCES, errno.EINVAL])
+    def test_other_errors_name_step_and_address(self, number):
+        """Waiting changes nothing, so operators have to see which address is wrong."""
+        with pytest.raises(AddressError) as raised:
+            self.open([number])
+        assert str(raised.value).startswith(f"listen, {ADDRESS}: ")
+
+    @pytest.mark.parametrize(
+        "open_socket", [listeners.open_stream_socket, listeners.open_datagram_socket]
+    )
+    def test_a_failed_attempt_leaves_no_socket_open(self, open_socket):
+        """Attempts that go on for long would use up the descriptors."""
+        kind = TCP if open_socket is listeners.open_stream_socket else UDP
+        holder = hold(("127.0.0.1", 0), kind)
+        with holder:
+            before = os.listdir("/proc/self/fd")
+            for _ in range(10):
+                with pytest.raises(OSError):
+                    open_socket(holder.getsockname())
+            assert len(os.listdir("/proc/self/fd")) == len(before)
