Wait for addresses in use when a process starts

Operators saw a process end at once, and again at each restart, while its predecessor or another process still had one of its addresses: OSError [Errno 98] Address already in use, in a traceback without the address. Also when only the port of metrics was in use.

All listening sockets are opened by daemon/listeners.py, which waits and logs the address. UdpSocket gets the opened socket. The server of metrics starts beside the process, whose service doesn't depend on it.

--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -22,6 +22,7 @@
 )
 from lycheevalve.daemon.exposition import Metric, count_upstreams, counter, gauge
 from lycheevalve.daemon.links import Links
+from lycheevalve.daemon.listeners import open_receiver
 from lycheevalve.daemon.polling import ask_once
 from lycheevalve.daemon.replica_task import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.role_process import INBOX_EVENTS, RoleProcess
@@ -44,7 +45,7 @@
     encode_answer,
     is_check,
 )
-from lycheevalve.utils.addresses import format_address, parse_address
+from lycheevalve.utils.addresses import format_address
 
 # Operators try another replica when they get no answer within a second.
 ANSWER_TIMEOUT_SECONDS = 0.85
@@ -139,17 +140,19 @@
         nursery.start_soon(task.run, receiver)
         store = UpstreamStore(Path(self.settings.data_folder), self.logic, self.lookup_key)
         await store.load()
-        self.take_over_lookups()
+        await self.take_over_lookups()
         nursery.start_soon(self.lookup_socket.run, self.inbox)
         nursery.start_soon(store.run)
         await self.serve_links(nursery, self.handle_link_message)
         await nursery.start(self.make_server(self).run)
 
-    def take_over_lookups(self):
+    async def take_over_lookups(self):
         """Stop the early thread, and answer lookups here from now on."""
         early, self.early = self.early, None
         if early is None:
-            self.lookup_socket = UdpSocket(parse_address(self.address))
+            self.lookup_socket = UdpSocket(
+                await open_receiver("listen for lookups", self.address)
+            )
             return
         early.stop()
         record(
@@ -161,7 +164,7 @@
             unsent=early.unsent,
             error=early.table_error or early.thread.error,
         )
-        self.lookup_socket = UdpSocket(parse_address(self.address), early.socket)
+        self.lookup_socket = UdpSocket(early.socket)
 
     def count_call(self, name, status):
         """Count an answer to an operator or upstream by call and status."""
--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -7,6 +7,7 @@
 from lycheevalve.daemon.events import Batch
 from lycheevalve.daemon.exposition import Metric, count_upstreams, counter, gauge
 from lycheevalve.daemon.http import Response, Server
+from lycheevalve.daemon.listeners import open_receiver
 from lycheevalve.daemon.probes import open_probe_socket
 from lycheevalve.daemon.role_process import RoleProcess
 from lycheevalve.daemon.udp_socket import UdpSocket
@@ -66,16 +67,21 @@
     async def start(self, nursery):
         """Start the tasks of the UDP socket and the readiness server."""
         self.nursery = nursery
-        address = parse_address(self.settings.packets)
-        if self.early is not None and self.early.packet_socket.getsockname() != address:
-            self.early.stop()
+        packets = self.settings.packets
+        early = self.early
+        if early is not None and early.packet_socket.getsockname() != parse_address(packets):
+            early.stop()
+            early.packet_socket.close()
             self.early = None
-            record("early_unavailable", reason=f"its socket is not at {self.settings.packets}")
-        early_socket = self.early and self.early.packet_socket
-        self.udp_socket = UdpSocket(address, early_socket)
+            record("early_unavailable", reason=f"its socket is not at {packets}")
         if self.early is None:
+            self.udp_socket = UdpSocket(await open_receiver("listen for packets", packets))
             self.start_sockets()
-        server = Server(self.settings.readiness, self.answer_probe)
+        else:
+            self.udp_socket = UdpSocket(self.early.packet_socket)
+        server = Server(
+            self.settings.readiness, self.answer_probe, "listen for readiness probes"
+        )
         await nursery.start(server.run)
 
     def start_sockets(self):
--- a/lycheevalve/daemon/exposition.py
+++ b/lycheevalve/daemon/exposition.py
@@ -77,4 +77,4 @@
         metrics = [*list_process_metrics(), *list_metrics()]
         return Response(200, text.build_text(metrics), text.CONTENT_TYPE)
 
-    return Server(address, handle)
+    return Server(address, handle, "listen for scrapes of metrics")
--- a/lycheevalve/daemon/http.py
+++ b/lycheevalve/daemon/http.py
@@ -11,8 +11,9 @@
 import attrs
 import trio
 
+from lycheevalve.daemon.listeners import open_listener
 from lycheevalve.logs.queue import record
-from lycheevalve.utils.addresses import format_address, parse_address
+from lycheevalve.utils.addresses import format_address
 from lycheevalve.utils.imports import load_module
 
 # New connections beyond this many are closed at once, even if open ones are idle.
@@ -50,20 +51,24 @@
 
 
 class Server:
-    """Serves HTTP on one address; `await handle(request)` returns the Response."""
+    """
+    Serves HTTP on one address; `await handle(request)` returns the Response.
 
-    def __init__(self, address, handle):
+    `step` names the opening of the address in logs and errors.
+    """
+
+    def __init__(self, address, handle, step="listen for HTTP"):
         self.address = address
+        self.step = step
         self.handle = handle
         self.open_connections = 0
         self.protocol = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled."""
-        host, port = parse_address(self.address)
-        listeners = await trio.open_tcp_listeners(port, host=host)
+        listener = await open_listener(self.step, self.address)
         task_status.started()
-        await trio.serve_listeners(self.serve, listeners)
+        await trio.serve_listeners(self.serve, [listener])
 
     async def serve(self, stream):
         """Serve one connection."""
--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -15,6 +15,7 @@
 from lycheevalve.coordination.membership import PAUSE_THRESHOLD_SECONDS
 from lycheevalve.daemon import events
 from lycheevalve.daemon.links import Links, make_codec_factory, serve_links
+from lycheevalve.daemon.listeners import open_receiver
 from lycheevalve.daemon.metrics import StatsdMetrics
 from lycheevalve.daemon.replica_task import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
 from lycheevalve.daemon.status import build_status, explain_flow
@@ -61,7 +62,8 @@
         async with trio.open_nursery() as nursery:
             make_codec = make_codec_factory(self.key, self.settings.name, self.incarnation)
             self.links = Links(make_codec, self.address_of, nursery)
-            self.udp_socket = UdpSocket(parse_address(self.settings.address))
+            address = self.settings.address
+            self.udp_socket = UdpSocket(await open_receiver("listen for datagrams", address))
             self.instance = Instance(
                 self.settings,
                 self.key,
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from lycheevalve.daemon.listeners import open_listener
 from lycheevalve.exceptions import FrameError, LycheevalveError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.frames import FrameCodec
@@ -179,7 +180,6 @@
 
     `handle(sender, message)` returns the answer to a message, or None.
     """
-    host, port = parse_address(address)
 
     async def serve(stream):
         peer = format_address(stream.socket.getpeername())
@@ -190,9 +190,9 @@
         except LINK_ERRORS as error:
             record("link_failed", peer=peer, reason=str(error))
 
-    listeners = await trio.open_tcp_listeners(port, host=host)
+    listener = await open_listener("listen for links", address)
     task_status.started()
-    await trio.serve_listeners(serve, listeners)
+    await trio.serve_listeners(serve, [listener])
 
 
 async def serve_connection(stream, codec, handle):
--- a/lycheevalve/daemon/probes.py
+++ b/lycheevalve/daemon/probes.py
@@ -7,6 +7,7 @@
 
 import os
 
+from lycheevalve.daemon.datagrams import open_datagram_socket
 from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.lookups import (
@@ -27,7 +28,7 @@
     """The UDP socket for probes; the owner reads the answers when it waits for some."""
 
     def __init__(self, address, key, data_centre):
-        self.socket = UdpSocket(parse_address(address))
+        self.socket = UdpSocket(open_datagram_socket(parse_address(address)))
         self.key = derive_key(key.encode())
         self.data_centre = data_centre
         # The addresses of probed replicas by nonce.
--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -55,8 +55,9 @@
             self.logic.subscriptions.set_seeds(link_addresses(self.settings), now)
             await self.start(nursery)
             if self.settings.metrics:
+                # Service doesn't depend on metrics, whose address may be unavailable.
                 server = make_server(self.settings.metrics, self.list_metrics)
-                await nursery.start(server.run)
+                nursery.start_soon(server.run)
             record(
                 "started", role=self.settings.role, address=self.address, version=__version__
             )
--- a/lycheevalve/daemon/udp_socket.py
+++ b/lycheevalve/daemon/udp_socket.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from lycheevalve.daemon.datagrams import open_datagram_socket, read_datagrams
+from lycheevalve.daemon.datagrams import read_datagrams
 from lycheevalve.daemon.events import Batch
 
 
@@ -10,11 +10,11 @@
     """
     One non-blocking UDP socket; `dropped` counts datagrams that could not be sent.
 
-    `early_socket` is one of datagrams.py that is open already; without it one is opened.
+    `opened` is the socket of open_datagram_socket.
     """
 
-    def __init__(self, address, early_socket=None):
-        self.socket = early_socket or open_datagram_socket(address)
+    def __init__(self, opened):
+        self.socket = opened
         self.dropped = 0
 
     def read_batch(self):
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -23,7 +23,8 @@
 
 def make_server(process):
     """Return the Server of a ControlProcess."""
-    return Server(process.settings.operators, functools.partial(answer, process))
+    address = process.settings.operators
+    return Server(address, functools.partial(answer, process), "listen for operators")
 
 
 async def answer(process, request):
--- a/lycheevalve/tests/test_listeners.py
+++ b/lycheevalve/tests/test_listeners.py
@@ -11,6 +11,8 @@
 from lycheevalve.daemon import listeners
 from lycheevalve.exceptions import AddressError
 from lycheevalve.logs.queue import queue
+from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
+from lycheevalve.utils.addresses import format_address
 
 TCP, UDP = socket.SOCK_STREAM, socket.SOCK_DGRAM
 ADDRESS = "127.0.0.1:9000"
@@ -25,6 +27,87 @@
     return opened
 
 
+def get_address(process, key):
+    """Return the (ip, port) of a setting, or that of links for `links`."""
+    return process.link_address() if key == "links" else process.address(key)
+
+
+@pytest.fixture
+def processes(tmp_path):
+    """Return a control replica and an entry instance, not started; kill them afterwards."""
+    replica = build_control(tmp_path)
+    instance = build_entry(tmp_path, replica)
+    yield {"control": replica, "entry": instance}
+    replica.stop()
+    instance.stop()
+
+
+class TestProcesses:
+    """
+    Processes whose predecessor still has one of their addresses.
+
+    Such a process ended at once, with a traceback that named no address.
+    """
+
+    @pytest.mark.parametrize(
+        ("role", "key", "kind"),
+        [
+            ("control", "links", TCP),
+            ("control", "links", UDP),
+            ("control", "operators", TCP),
+            ("entry", "packets", UDP),
+            ("entry", "readiness", TCP),
+        ],
+    )
+    def test_a_process_waits_for_an_address_in_use(self, processes, role, key, kind):
+        """A process ended with EADDRINUSE when its predecessor had not ended yet."""
+        process = processes[role]
+        address = get_address(process, key)
+        holder = hold(address, kind)
+        process.start()
+        event = wait_for(
+            lambda: process.read_events("address_unavailable") or not process.is_running()
+        )
+        assert process.is_running(), process.read_output()
+        assert event[0]["address"] == format_address(address)
+        assert event[0]["step"].startswith("listen for ")
+        assert not process.read_events("started")
+        holder.close()
+        process.wait_until_started()
+        assert process.read_events("address_available")[0]["address"] == format_address(address)
+
+    def test_early_sockets_in_use_delay_no_start(self, processes):
+        """The early thread does without its sockets, and the process waits for them."""
+        process = processes["control"]
+        process.environment["LYCHEEVALVE_EARLY"] = " ".join(
+            f"{key}={process.settings[key]}"
+            for key in ("ip", "link_port", "data_folder", "key")
+        )
+        holder = hold(process.link_address(), UDP)
+        process.start()
+        wait_for(lambda: process.read_events("address_unavailable") or not process.is_running())
+        assert process.is_running(), process.read_output()
+        assert process.read_events("early_unavailable")
+        holder.close()
+        process.wait_until_started()
+
+    @pytest.mark.parametrize("role", ["control", "entry"])
+    def test_service_starts_without_the_address_of_metrics(self, processes, role):
+        """A process ended when only its metrics had no address."""
+        process = processes[role]
+        holder = hold(process.address("metrics"), TCP)
+        process.start().wait_until_started()
+        wait_for(lambda: process.read_events("address_unavailable"))
+        assert process.is_running(), process.read_output()
+        holder.close()
+
+        def connect():
+            with socket.socket() as client:
+                return client.connect_ex(process.address("metrics")) == 0
+
+        wait_for(connect)
+
+
 class TestRetries:
     """Which errors are retried, and how that is logged."""
 
