Survive settings files that are replaced, missing or too deep

The platform replaces the settings file of a running process. The first look at the file was not protected: a process whose file was missing at that moment ended with FileNotFoundError. A change between loading the settings and that look was never applied. A file with deep nesting or a number of thousands of digits ended the process that read it again with RecursionError or ValueError, as tomllib doesn't raise TOMLDecodeError for them.

The version of the file (time, inode, size) is taken before the settings are loaded, a file that can't be read is a version of its own, and every error of tomllib is a SettingsError.

Evidence, before: test_a_file_that_is_missing_for_a_moment_ends_no_process and test_a_change_between_loading_and_watching_is_applied could not run without read_version; test_invalid_content_is_refused failed with "RecursionError: maximum recursion depth exceeded" and "ValueError: Exceeds the limit (4300 digits)". Now they pass.

--- a/lycheevalve/config/files.py
+++ b/lycheevalve/config/files.py
@@ -12,7 +12,8 @@
         return tomllib.loads(Path(path).read_text())
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"can't be read: {error}", "read settings", str(path)) from error
-    except tomllib.TOMLDecodeError as error:
+    # Deep nesting and numbers of thousands of digits are no TOMLDecodeError.
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"invalid TOML: {error}", "read settings", str(path)) from error
 
 
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -41,18 +41,22 @@
                 await process.inbox.send(Stop())
 
 
-async def watch_settings(process, path):
-    """Reload the settings when their file has changed."""
-    last_mtime = os.stat(path).st_mtime_ns
+def read_version(path):
+    """Return what changes when a file is written, replaced or removed."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_ino, status.st_size
+
+
+async def watch_settings(process, path, loaded_version):
+    """Reload the settings when their file is no longer the version that was loaded."""
     while True:
         await trio.sleep(SETTINGS_POLL_INTERVAL_SECONDS)
-        try:
-            mtime = os.stat(path).st_mtime_ns
-        except OSError as error:
-            record("not_reloaded", reason=str(error))
-            continue
-        if mtime != last_mtime:
-            last_mtime = mtime
+        version = read_version(path)
+        if version != loaded_version:
+            loaded_version = version
             await reload_settings(process, path)
 
 
@@ -74,12 +78,12 @@
     record("reloaded", changed=reloadable)
 
 
-async def run_process(settings, path, early):
+async def run_process(settings, path, loaded_version, early):
     """Run the process and watch signals and the settings file until it has stopped."""
     process = make_process(settings, early)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_signals, process, path)
-        nursery.start_soon(watch_settings, process, path)
+        nursery.start_soon(watch_settings, process, path, loaded_version)
         nursery.start_soon(writer.run)
         await process.run()
         nursery.cancel_scope.cancel()
@@ -93,6 +97,8 @@
     there is none.
     """
     settings = None
+    # Read before the settings: a change in between is found later.
+    loaded_version = read_version(path)
     try:
         settings = load_role_settings(path)
     except* LycheevalveError as group:
@@ -104,7 +110,7 @@
     if early_error:
         record("early_unavailable", reason=early_error)
     try:
-        trio.run(run_process, settings, path, early)
+        trio.run(run_process, settings, path, loaded_version, early)
     finally:
         writer.close()
     return 0
--- a/lycheevalve/tests/test_start.py
+++ b/lycheevalve/tests/test_start.py
@@ -1,12 +1,17 @@
 """The startup of a process on the platform, before its tasks run."""
 
 import functools
+import os
 import signal
 import subprocess
 import sys
 
 import pytest
+import trio
+import trio.testing
 
+from lycheevalve.config.files import read_toml
+from lycheevalve.exceptions import SettingsError
 from lycheevalve.platform import __main__ as program
 from lycheevalve.platform import run
 
@@ -55,3 +60,72 @@
             for started in processes:
                 started.send_signal(signal.SIGHUP)
         assert {process.wait() for process in processes} == {run.EXIT_INVALID_INPUT}
+
+
+class Reloads:
+    """Stands in for reload_settings; records the content of the file at each reload."""
+
+    def __init__(self, monkeypatch):
+        self.contents = []
+        monkeypatch.setattr(run, "reload_settings", self.reload)
+
+    async def reload(self, process, path):
+        """Record the content of the file."""
+        self.contents.append(path.read_text() if path.exists() else None)
+
+
+class TestSettingsFile:
+    """A settings file that is replaced while a process starts or runs."""
+
+    def watch(self, path, loaded_version, changes):
+        """Apply each change between two checks of the file."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(run.watch_settings, None, path, loaded_version)
+                await trio.sleep(run.SETTINGS_POLL_INTERVAL_SECONDS / 2)
+                for change in changes:
+                    change()
+                    await trio.sleep(run.SETTINGS_POLL_INTERVAL_SECONDS)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_a_file_that_is_missing_for_a_moment_ends_no_process(self, tmp_path, monkeypatch):
+        """FileNotFoundError ended a process whose file was replaced as it started."""
+        path, reloads = tmp_path / "settings.toml", Reloads(monkeypatch)
+        path.write_text("old")
+        version = run.read_version(path)
+        path.unlink()
+        nothing = int
+        self.watch(path, version, [nothing, nothing, lambda: path.write_text("new"), nothing])
+        assert reloads.contents == [None, "new"]
+
+    def test_a_change_between_loading_and_watching_is_applied(self, tmp_path, monkeypatch):
+        """A file replaced while the modules were imported stayed unread until the next."""
+        path, reloads = tmp_path / "settings.toml", Reloads(monkeypatch)
+        path.write_text("old")
+        version = run.read_version(path)
+        replacement = tmp_path / "replacement"
+        replacement.write_text("new")
+        # A replacement may have the time of the file that it replaces.
+        os.utime(replacement, ns=(path.stat().st_atime_ns, path.stat().st_mtime_ns))
+        replacement.rename(path)
+        self.watch(path, version, [int])
+        assert reloads.contents == ["new"]
+
+    @pytest.mark.parametrize(
+        "content",
+        [b"", b"\xff\xfe\0", b"key = ", b"a = " + b"[" * 20_000, b"a = " + b"1" * 10_000],
+        ids=["empty", "binary", "cut", "deep", "long number"],
+    )
+    def test_invalid_content_is_refused(self, tmp_path, content):
+        """Deep nesting and long numbers ended processes that read the file again."""
+        path = tmp_path / "settings.toml"
+        path.write_bytes(content)
+        if not content:
+            assert read_toml(path) == {}
+            return
+        with pytest.raises(SettingsError) as raised:
+            read_toml(path)
+        assert str(path) in str(raised.value)
