End a process that waits for an address at SIGTERM

The graceful stop is an event of the process, and events are handled once all addresses are open. A process that still waits for one two seconds after SIGTERM is cancelled; it serves nothing. RoleProcess.started says whether the events are handled.

Evidence: test_sigterm_ends_a_process_that_waits; without this change the process ran on until it was killed.

--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -36,6 +36,7 @@
         self.make_codec = make_codec_factory(
             settings.key.encode(), self.address, self.incarnation
         )
+        self.started = trio.Event()
         self.connections = None
         self.logic = None
         self.last_iteration_at = 0.0
@@ -61,6 +62,7 @@
             record(
                 "started", role=self.settings.role, address=self.address, version=__version__
             )
+            self.started.set()
             await self.run_events()
             nursery.cancel_scope.cancel()
         record("stopped")
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -15,6 +15,8 @@
 EXIT_INVALID_INPUT = 2
 # How often the settings file is checked for changes, which may come without a SIGHUP.
 SETTINGS_POLL_INTERVAL_SECONDS = 2.0
+# A process that is still starting this long after SIGTERM waits for an address and is ended.
+START_TIMEOUT_SECONDS = 2.0
 
 
 def make_process(settings, early):
@@ -31,14 +33,29 @@
     return ControlProcess(settings, make_server, read_routes, early)
 
 
-async def watch_signals(process, path):
-    """Stop gracefully on SIGTERM and SIGINT; reload the settings on SIGHUP."""
+async def watch_signals(process, path, scope):
+    """
+    Stop gracefully on SIGTERM and SIGINT; reload the settings on SIGHUP.
+
+    A process that can't start is ended by cancelling `scope`.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
         async for signal_number in received:
             if signal_number == signal.SIGHUP:
                 await reload_settings(process, path)
             else:
-                await process.inbox.send(Stop())
+                await stop(process, scope)
+
+
+async def stop(process, scope):
+    """Stop a process gracefully once it has started; cancel `scope` if it can't start."""
+    with trio.move_on_after(START_TIMEOUT_SECONDS):
+        await process.started.wait()
+    if process.started.is_set():
+        await process.inbox.send(Stop())
+    else:
+        record("stopped")
+        scope.cancel()
 
 
 def read_version(path):
@@ -82,7 +99,7 @@
     """Run the process and watch signals and the settings file until it has stopped."""
     process = make_process(settings, early)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch_signals, process, path)
+        nursery.start_soon(watch_signals, process, path, nursery.cancel_scope)
         nursery.start_soon(watch_settings, process, path, loaded_version)
         nursery.start_soon(writer.run)
         await process.run()
--- a/lycheevalve/tests/test_listeners.py
+++ b/lycheevalve/tests/test_listeners.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import signal
 import socket
 
 import pytest
@@ -107,6 +108,17 @@
 
         wait_for(connect)
 
+    def test_sigterm_ends_a_process_that_waits(self, processes):
+        """Its events are not handled yet, so the graceful stop would not begin."""
+        process = processes["control"]
+        holder = hold(process.address("operators"), TCP)
+        process.start()
+        wait_for(lambda: process.read_events("address_unavailable") or not process.is_running())
+        process.process.send_signal(signal.SIGTERM)
+        assert process.process.wait(timeout=60) == 0
+        assert process.read_events("stopped")
+        holder.close()
+
 
 class TestRetries:
     """Which errors are retried, and how that is logged."""
