--- a/lycheevalve/daemon/early.py
+++ b/lycheevalve/daemon/early.py
@@ -75,9 +75,9 @@
 
     def start(self):
         """Start the thread."""
-        sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
         self.stopped.acquire()
         start_new_thread(self.run, ())
+        sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
 
     def stop(self):
         """Stop the thread, and return once it has ended; its sockets stay open."""
@@ -153,8 +153,8 @@
 
     def start(self):
         """Start the thread; imports wait for its packets from now on."""
-        sys.meta_path.insert(0, self.import_gate)
         self.thread.start()
+        sys.meta_path.insert(0, self.import_gate)
 
     def stop(self):
         """
--- a/lycheevalve/tests/test_start.py
+++ b/lycheevalve/tests/test_start.py
@@ -1,33 +1,46 @@
 """The startup of a process on the platform, before its tasks run."""
 
 import functools
+import json
 import os
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 import trio
 import trio.testing
 
 from lycheevalve.config.files import read_toml
+from lycheevalve.daemon import early as early_thread
 from lycheevalve.exceptions import SettingsError
 from lycheevalve.platform import __main__ as program
 from lycheevalve.platform import run
 
+ROOT = Path(__file__).parent.parent.parent
+EARLY_WORDS = (
+    "packets=127.0.0.1:0 ip=127.0.0.1 link_port=0 seeds=127.0.0.1:9 data_centre=d key=k"
+)
+
 
 @pytest.fixture
-def default_sighup():
-    """Restore the default action of SIGHUP, which ends the process."""
-    previous_handler = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+def default_signals():
+    """Set the actions with which a process starts; restore those of the test run."""
+    actions = {
+        signal.SIGHUP: signal.SIG_DFL,
+        signal.SIGINT: signal.default_int_handler,
+    }
+    previous = {number: signal.signal(number, action) for number, action in actions.items()}
     yield
-    signal.signal(signal.SIGHUP, previous_handler)
+    for number, action in previous.items():
+        signal.signal(number, action)
 
 
 class TestSignals:
     """Signals that arrive before the handlers are installed."""
 
-    def test_sighup_during_startup_is_ignored(self, default_sighup, monkeypatch):
+    def test_sighup_during_startup_is_ignored(self, default_signals, monkeypatch):
         """A SIGHUP during the imports ended four replicas without a log line (soak seed 15)."""
         handlers = []
 
@@ -39,6 +52,20 @@
         assert program.main(["settings.toml"]) == 0
         assert handlers == [signal.SIG_IGN]
 
+    def test_sigint_during_startup_ends_the_process_as_sigterm_does(
+        self, default_signals, monkeypatch
+    ):
+        """The stack of an interrupted import looked like a fault of the process."""
+        actions = []
+
+        def start(path, early, early_error):
+            actions.append(signal.getsignal(signal.SIGINT))
+            return 0
+
+        monkeypatch.setattr(run, "run", start)
+        assert program.main(["settings.toml"]) == 0
+        assert actions == [signal.SIG_DFL]
+
     @pytest.mark.parametrize(
         "program_arguments",
         [
@@ -62,6 +89,58 @@
         assert {process.wait() for process in processes} == {run.EXIT_INVALID_INPUT}
 
 
+class TestImports:
+    """Modules that can't be imported, as with an incomplete installation."""
+
+    def test_the_last_line_says_which_module_is_missing(self):
+        """Only a stack was printed, which readers of the log did not parse."""
+        environment = {key: os.environ[key] for key in ("PATH", "HOME") if key in os.environ}
+        process = subprocess.run(
+            # Without site packages, trio is missing.
+            [sys.executable, "-S", "role.py", "settings.toml"],
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+        )
+        assert process.returncode == program.EXIT_FAILED
+        event = json.loads(process.stdout.splitlines()[-1])
+        assert (event["event"], event["step"]) == ("ended", "import")
+        assert "trio" in event["error"]
+        assert "Traceback" in process.stderr
+
+
+class TestEarlyThread:
+    """A process starts without its early thread when that fails for any reason."""
+
+    @pytest.fixture
+    def finders(self):
+        """Return the list of import finders; restore it afterwards."""
+        finders = list(sys.meta_path)
+        yield sys.meta_path
+        sys.meta_path[:] = finders
+
+    def test_a_thread_that_cant_be_started_ends_no_process(self, finders, monkeypatch):
+        """At the limit on processes of a user, RuntimeError ended the process at once."""
+
+        def start_new_thread(function, arguments):
+            raise RuntimeError("can't start new thread")
+
+        monkeypatch.setattr(early_thread, "start_new_thread", start_new_thread)
+        before, interval = list(finders), sys.getswitchinterval()
+        assert program.start_early(EARLY_WORDS) == (None, "can't start new thread")
+        # Imports would wait for packets that nothing forwards.
+        assert finders == before
+        assert sys.getswitchinterval() == interval
+
+    def test_variables_of_any_bytes_end_no_process(self, monkeypatch):
+        """Words that aren't UTF-8 ended the process with UnicodeDecodeError."""
+        monkeypatch.setitem(program.posix.environ, program.EARLY_VARIABLE, b"ip=\xff key=k")
+        early, reason = program.start_early(program.read_variable(program.EARLY_VARIABLE))
+        assert early is None
+        assert "missing link_port" in reason
+
+
 class Reloads:
     """Stands in for reload_settings; records the content of the file at each reload."""
 
