Read the settings again when a process starts while they are written

A process that starts while its settings file is missing, empty or half written ended with exit code 2. The file is read again for up to a second before it counts as invalid; the early thread forwards meanwhile. Exit code, file and reason stay as they are.

Evidence: test_a_file_that_is_being_written_ends_no_process has the three cases; before, one read decided, so a file that is complete a moment later did not help.

--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 
 import trio
 
@@ -15,6 +16,9 @@
 EXIT_INVALID_INPUT = 2
 # How often the settings file is checked for changes, which may come without a SIGHUP.
 SETTINGS_POLL_INTERVAL_SECONDS = 2.0
+# A process that starts reads an invalid file again until this time has passed.
+SETTINGS_TIMEOUT_SECONDS = 1.0
+SETTINGS_RETRY_INTERVAL_SECONDS = 0.05
 # A process that is still starting this long after SIGTERM waits for an address and is ended.
 START_TIMEOUT_SECONDS = 2.0
 
@@ -106,6 +110,25 @@
         nursery.cancel_scope.cancel()
 
 
+def load_settings(path):
+    """
+    Return (the settings of a file, its version, no errors), or (None, None, its errors).
+
+    A file that is missing or invalid may be one that is being written.
+    """
+    end = time.monotonic() + SETTINGS_TIMEOUT_SECONDS
+    while True:
+        # Read before the settings: a change in between is found later.
+        version, errors = read_version(path), ()
+        try:
+            return load_role_settings(path), version, errors
+        except* LycheevalveError as group:
+            errors = group.exceptions
+        if time.monotonic() >= end:
+            return None, None, errors
+        time.sleep(SETTINGS_RETRY_INTERVAL_SECONDS)
+
+
 def run(path, early=None, early_error=""):
     """
     Run a process with the settings of a file; return its exit code.
@@ -113,14 +136,9 @@
     `early` is the EarlyForwarder or EarlyResponder that runs already; `early_error` says why
     there is none.
     """
-    settings = None
-    # Read before the settings: a change in between is found later.
-    loaded_version = read_version(path)
-    try:
-        settings = load_role_settings(path)
-    except* LycheevalveError as group:
-        for error in group.exceptions:
-            print(f"lycheevalve: {error}", file=sys.stderr)
+    settings, loaded_version, errors = load_settings(path)
+    for error in errors:
+        print(f"lycheevalve: {error}", file=sys.stderr)
     if settings is None:
         return EXIT_INVALID_INPUT
     set_up_logs(settings.log_level, instance=settings.name)
--- a/lycheevalve/tests/fakes/role_processes.py
+++ b/lycheevalve/tests/fakes/role_processes.py
@@ -66,11 +66,16 @@
         """Return the (ip, port) at which the process accepts links."""
         return self.settings["ip"], self.settings["link_port"]
 
-    def start(self):
-        """Start the process; its output is appended to a file."""
+    def write_settings(self):
+        """Write the settings file; return its path."""
         path = self.folder / f"{self.settings['name']}.toml"
         lines = (f"{key} = {json.dumps(value)}\n" for key, value in self.settings.items())
         path.write_text("".join(lines))
+        return path
+
+    def start(self):
+        """Start the process; its output is appended to a file."""
+        path = self.write_settings()
         self.earlier_starts = len(self.read_events("started"))
         with open(self.output_path, "a") as output:
             self.process = subprocess.Popen(
--- a/lycheevalve/tests/test_start.py
+++ b/lycheevalve/tests/test_start.py
@@ -17,6 +17,7 @@
 from lycheevalve.exceptions import SettingsError
 from lycheevalve.platform import __main__ as program
 from lycheevalve.platform import run
+from lycheevalve.tests.fakes.role_processes import build_control
 
 ROOT = Path(__file__).parent.parent.parent
 EARLY_WORDS = (
@@ -180,6 +181,34 @@
         self.watch(path, version, [nothing, nothing, lambda: path.write_text("new"), nothing])
         assert reloads.contents == [None, "new"]
 
+    @pytest.mark.parametrize("content", [None, "", "cut"])
+    def test_a_file_that_is_being_written_ends_no_process(self, tmp_path, monkeypatch, content):
+        """A process that read the file at that moment ended with exit code 2."""
+        replica = build_control(tmp_path)
+        path, times = replica.write_settings(), []
+        complete = path.read_text()
+
+        def write(seconds):
+            times.append(seconds)
+            path.write_text(complete)
+
+        if content is None:
+            path.unlink()
+        else:
+            path.write_text(content and complete[: len(complete) // 2])
+        monkeypatch.setattr(run.time, "sleep", write)
+        settings, version, errors = run.load_settings(path)
+        assert (settings.name, errors) == (replica.settings["name"], ())
+        assert version == run.read_version(path)
+        assert len(times) == 1
+
+    def test_a_file_that_stays_invalid_is_reported(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(run, "SETTINGS_TIMEOUT_SECONDS", 0.0)
+        path = tmp_path / "settings.toml"
+        settings, version, errors = run.load_settings(path)
+        assert (settings, version) == (None, None)
+        assert str(path) in str(errors[0])
+
     def test_a_change_between_loading_and_watching_is_applied(self, tmp_path, monkeypatch):
         """A file replaced while the modules were imported stayed unread until the next."""
         path, reloads = tmp_path / "settings.toml", Reloads(monkeypatch)
