--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 import signal
-import socket
+import sys
 
 import pytest
 from hypothesis import given
@@ -25,7 +25,12 @@
 from lycheevalve.logs.queue import LogQueue, Output, Writer
 from lycheevalve.logs.schema import validate_event
 from lycheevalve.logs.timeline import parse_logs
-from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
+from lycheevalve.tests.fakes.role_processes import (
+    WAIT_TIMEOUT_SECONDS,
+    build_control,
+    build_entry,
+    wait_for,
+)
 from lycheevalve.utils.addresses import format_address
 
 
@@ -54,6 +59,20 @@
     return json.loads(path.read_text())["state"] if path.exists() else None
 
 
+# A control replica whose start fails.
+FAILING_START = """
+import sys
+from lycheevalve.daemon.control import ControlProcess
+from lycheevalve.platform.__main__ import main
+
+async def start(self, nursery):
+    raise OSError(98, "Address already in use")
+
+ControlProcess.start = start
+sys.exit(main(sys.argv[1:]))
+"""
+
+
 class TestRecord:
     """The record of a run in a data folder."""
 
@@ -202,8 +221,8 @@
         """Guards against a traceback that is attributed to the run before it in the log."""
         replica = build_control(tmp_path).start().wait_until_started()
         replica.stop()
-        with socket.create_server(replica.address("operators")):
-            assert replica.start().process.wait() != 0
+        replica.command = (sys.executable, "-c", FAILING_START)
+        assert replica.start().process.wait(WAIT_TIMEOUT_SECONDS) == 1
         logs = parse_logs({"control-1.jsonl": replica.read_output().splitlines()})
         lost, ended = build_report("control-1", logs).findings
         assert "ended without a last line: killed" in lost
