Keep a process running when its log, settings or signals fail

The writer of the log imports loguru a second after the start. When that failed, as without a free descriptor or with files that were replaced meanwhile, the whole process ended with ImportError. The tasks of platform/run.py are now boundaries like those of the process: the log and the watch of the settings file are started again, and an error while a signal is handled ends that signal's handling only.

Evidence: test_a_failed_import_of_the_log_library_ends_no_process failed with "assert False, where False = is_running()" and "ImportError: not found" in the output of the process; now the events are written once the library can be imported.

--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -9,6 +9,7 @@
 
 from lycheevalve.config.instance import changed_options
 from lycheevalve.config.roles import ENTRY, OPTIONS, load_role_settings
+from lycheevalve.daemon.boundaries import contain, keep_running
 from lycheevalve.daemon.events import Reload, Stop
 from lycheevalve.exceptions import LycheevalveError
 from lycheevalve.logs.queue import record, set_up_logs, writer
@@ -45,10 +46,11 @@
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
         async for signal_number in received:
-            if signal_number == signal.SIGHUP:
-                await reload_settings(process, path)
-            else:
-                await stop(process, scope)
+            with contain("signal"):
+                if signal_number == signal.SIGHUP:
+                    await reload_settings(process, path)
+                else:
+                    await stop(process, scope)
 
 
 async def stop(process, scope):
@@ -104,8 +106,10 @@
     process = make_process(settings, early)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_signals, process, path, nursery.cancel_scope)
-        nursery.start_soon(watch_settings, process, path, loaded_version)
-        nursery.start_soon(writer.run)
+        nursery.start_soon(
+            keep_running, "settings", watch_settings, process, path, loaded_version
+        )
+        nursery.start_soon(keep_running, "log", writer.run)
         await process.run()
         nursery.cancel_scope.cancel()
 
--- a/lycheevalve/tests/test_start.py
+++ b/lycheevalve/tests/test_start.py
@@ -17,7 +17,7 @@
 from lycheevalve.exceptions import SettingsError
 from lycheevalve.platform import __main__ as program
 from lycheevalve.platform import run
-from lycheevalve.tests.fakes.role_processes import build_control
+from lycheevalve.tests.fakes.role_processes import build_control, wait_for
 
 ROOT = Path(__file__).parent.parent.parent
 EARLY_WORDS = (
@@ -111,6 +111,37 @@
         assert "Traceback" in process.stderr
 
 
+class TestLateImports:
+    """Modules that are imported once the process serves."""
+
+    def test_a_failed_import_of_the_log_library_ends_no_process(self, tmp_path):
+        """A process without a free descriptor, or one whose files were replaced, ended."""
+        library = tmp_path / "loguru.py"
+        library.write_text(
+            "import pathlib\n"
+            "with open(pathlib.Path(__file__).with_name('imports'), 'a') as file:\n"
+            "    file.write('x')\n"
+            "raise ImportError('not found')\n"
+        )
+        replica = build_control(tmp_path)
+        replica.environment = {"PYTHONPATH": str(tmp_path)}
+        replica.start()
+
+        def attempts():
+            assert replica.is_running(), replica.read_output()
+            path = tmp_path / "imports"
+            return path.exists() and len(path.read_text()) > 2
+
+        try:
+            wait_for(attempts)
+            # The file is read again and its events are written once it can be imported.
+            library.unlink()
+            wait_for(lambda: replica.read_events("started"))
+            assert replica.read_events("task_failed")[0]["task"] == "log"
+        finally:
+            replica.stop()
+
+
 class TestEarlyThread:
     """A process starts without its early thread when that fails for any reason."""
 
