--- a/lycheevalve/config/roles.py
+++ b/lycheevalve/config/roles.py
@@ -25,7 +25,7 @@
     "data_folder": Option(options.check_any_text, ""),
     "key": Option(options.check_text),
     "heartbeat_ms": Option(options.integer_between(10, 3_600_000), 1000),
-    "stop_seconds": Option(options.integer_between(1, 3600), 6),
+    "stop_seconds": Option(options.number_between(1, 3600), 6.0),
     "tolerated_losses": Option(options.integer_between(0, 3), 1),
     "data_centres": Option(options.list_of(options.check_name), ()),
     "link_mbps": Option(options.number_between(0, 1_000_000), 0),
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -65,7 +65,7 @@
   11: string data_folder = ""
   12: string key
   13: i32 heartbeat_ms = 1000
-  14: i32 stop_seconds = 6
+  14: double stop_seconds = 6.0
   // How many instances with disks may be lost at the same time.
   15: i32 tolerated_losses = 1
   16: string log_level = "INFO"
