--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -10,7 +10,7 @@
 
 from lycheevalve.config.instance import changed_options
 from lycheevalve.config.roles import ENTRY, OPTIONS, load_role_settings
-from lycheevalve.daemon.boundaries import keep_running
+from lycheevalve.daemon.boundaries import contain, keep_running
 from lycheevalve.daemon.ends import run_to_end
 from lycheevalve.daemon.events import Reload, Stop
 from lycheevalve.exceptions import LycheevalveError
@@ -48,10 +48,11 @@
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
         async for signal_number in received:
-            if signal_number == signal.SIGHUP:
-                await reload_settings(process, path)
-            else:
-                await stop(process, scope)
+            with contain("signal"):
+                if signal_number == signal.SIGHUP:
+                    await reload_settings(process, path)
+                else:
+                    await stop(process, scope)
 
 
 async def stop(process, scope):
@@ -106,8 +107,7 @@
     """Run the process and watch signals and the settings file until it has stopped."""
     process = make_process(settings, early)
     async with trio.open_nursery() as nursery:
-        scope = nursery.cancel_scope
-        nursery.start_soon(keep_running, "signals", watch_signals, process, path, scope)
+        nursery.start_soon(watch_signals, process, path, nursery.cancel_scope)
         nursery.start_soon(
             keep_running, "settings", watch_settings, process, path, loaded_version
         )
