Record ends and failed tasks that the soak did not cause as violations

The soak noticed that a process had ended only while no event used its machine, and never looked at exit codes or logs: an end during a restart, a code other than 0 after SIGTERM, a traceback and a contained error went unseen.

Each exit is compared with the signals that the run sent, at the end all processes are stopped gracefully, and the logs are searched for `ended`, `task_failed` and text that is no event; only failures of connections from the address that sends malformed input are excused. New events: bulk resets and malformed input at all ports, heartbeats and configurations with invalid values, signals in series to stopping processes, stops while starting.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -20,6 +20,7 @@
 from bench.soak.callers import Caller
 from bench.soak.events import EventScheduler
 from bench.soak.operator import Operator
+from bench.soak.series import play_seeds
 from bench.soak.site import ZONES, Site
 
 FABRIC_PORT = 7610
@@ -49,7 +50,7 @@
     """Run the site with simulated callers, upstreams and operator, and the events."""
     async with trio.open_nursery() as nursery:
         operator = Operator(site, seed)
-        events = EventScheduler(site, nursery, seed, log)
+        events = EventScheduler(site, operator, nursery, seed, log)
         for name, machine in site.machines.items():
             machine.tree = site.trees[-1]
             site.start_process(name)
@@ -66,10 +67,13 @@
         for task in (operator.run_changes, operator.run_reads, operator.run_evacuations):
             nursery.start_soon(task)
         nursery.start_soon(operator.check_in_force, callers)
+        nursery.start_soon(site.keep_connections)
         await events.run(seconds)
         await events.upgrade_all()
         await trio.sleep(RECOVERY_SECONDS)
         await check_final_state(site, operator)
+        await site.stop_all(events.busy)
+        site.check_logs()
         nursery.cancel_scope.cancel()
 
 
@@ -110,10 +114,24 @@
         sys.exit(f"soak: {error}")
 
 
-def soak(seed=1, minutes=1.0, keep="", network=0, calm_seconds=8.0, upgrade=""):
+def soak(
+    seed=1,
+    minutes=1.0,
+    keep="",
+    network=0,
+    calm_seconds=8.0,
+    upgrade="",
+    entries=4,
+    controls=4,
+    seeds="",
+):
     """
     Run the soak once; KEEP names a new folder for settings, logs and data.
 
+    SEEDS is a range such as 1-50: they run one after another, with a line of result each.
+
+    ENTRIES and CONTROLS are the numbers of entry instances and control replicas.
+
     UPGRADE is a commit, or "production" for the one in deploy/system.toml: all processes
     start with that version, are replaced by the current one and back at random, and run the
     current one at the end.
@@ -125,6 +143,9 @@
 
     Example: scripts/soak --seed 7 --minutes 2
     """
+    if seeds:
+        options = {"minutes": minutes, "calm-seconds": calm_seconds, "upgrade": upgrade}
+        sys.exit(play_seeds(seeds, options | {"entries": entries, "controls": controls}))
     folder = Path(keep or tempfile.mkdtemp(prefix="lycheevalve-soak-")).absolute()
     folder.mkdir(parents=True, exist_ok=True)
     if any(folder.iterdir()):
@@ -132,7 +153,15 @@
         sys.exit(f"folder {folder} of --keep is not empty")
     network = network or 2 + seed % 248
     trees = (None, build_version(upgrade)) if upgrade else (None,)
-    site = Site(folder, FABRIC_PORT, network, calm_seconds=calm_seconds, trees=trees)
+    site = Site(
+        folder,
+        FABRIC_PORT,
+        network,
+        entries,
+        controls,
+        calm_seconds=calm_seconds,
+        trees=trees,
+    )
     # Ends the run through `finally`, so that no process of the site is left.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     try:
@@ -153,6 +182,7 @@
     if violations:
         print(f"logs: {folder}", file=sys.stderr)
         options = f" --upgrade {upgrade}" if upgrade else ""
+        options += f" --entries {entries} --controls {controls}"
         repeat = f"scripts/soak --seed {seed} --minutes {minutes}{options}"
         print(f"repeat with: {repeat}", file=sys.stderr)
         sys.exit(1)
--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -6,22 +6,29 @@
 
 import trio
 
-from bench.soak.site import SERVICES, ZONES
+from bench.soak.http_client import call
+from bench.soak.inputs import Intruder
+from bench.soak.site import CONTROL_PORT, LINK_PORT, SERVICES, ZONES
 from bench.soak.upstreams import Upstream
+from lycheevalve.tests.fakes.platform import REPLACE_PATH
 
 UPSTREAM_PORT = 8080
 UPSTREAM_COUNTS = {SERVICES[0]: 6, SERVICES[1]: 4}
 # The address of a stopped upstream is reused after this time.
 ADDRESS_REUSE_DELAY_SECONDS = 2.0
+# Versions that no configuration may have.
+INVALID_VERSIONS = (2**63, 10**30, -1, None, "7", 1.5)
 
 
 class EventScheduler:
     """Draws events with a seeded random generator and runs them."""
 
-    def __init__(self, site, nursery, seed, log):
+    def __init__(self, site, operator, nursery, seed, log):
         self.site = site
+        self.operator = operator
         self.nursery = nursery
         self.random = random.Random(seed)
+        self.intruder = Intruder(site.intruder_ip, random.Random(seed))
         self.log = log
         self.upstreams = {}
         self.free_hosts = list(range(1, 200))
@@ -32,6 +39,9 @@
             self.restart_gracefully,
             self.replace_upstream,
             self.reload_settings,
+            self.reset_connections,
+            self.send_malformed_input,
+            self.send_malformed_calls,
         )
         if len(site.trees) > 1:
             self.planned_changes = (*self.planned_changes, self.change_version)
@@ -42,6 +52,7 @@
             self.lose_power,
             self.lose_disk,
             self.crash_upstream,
+            self.stop_while_starting,
         )
 
     # Upstreams.
@@ -120,12 +131,34 @@
     async def replace_process(self, name, tree):
         """Stop the process of a busy machine gracefully, and start one of a version there."""
         self.site.send_signal(name, signal.SIGTERM)
+        await self.repeat_signals(name)
         await self.site.wait_for_exit(name)
         self.site.machines[name].tree = tree
         self.site.start_process(name)
         await trio.sleep(4.0)
         self.busy.discard(name)
 
+    async def repeat_signals(self, name):
+        """Send further signals to a process that stops."""
+        for _ in range(self.random.randint(0, 4)):
+            await trio.sleep(self.random.uniform(0.0, 0.2))
+            self.site.send_signal(name, self.random.choice((signal.SIGTERM, signal.SIGHUP)))
+
+    async def stop_while_starting(self):
+        """Stop a process that has just been started, and start it again, several times."""
+        name = self.reserve_machine(self.random.choice(("entry", "control")))
+        if name is None:
+            return
+        self.log(f"stop {name} while it starts")
+        for _ in range(self.random.randint(2, 4)):
+            self.site.send_signal(name, signal.SIGTERM)
+            await self.repeat_signals(name)
+            await self.site.wait_for_exit(name)
+            self.site.start_process(name)
+            await trio.sleep(self.random.uniform(0.0, 1.5))
+        self.site.record_fault()
+        self.busy.discard(name)
+
     async def change_version(self):
         """Replace the process of a machine by one of another version, forward or back."""
         name = self.reserve_machine(self.random.choice(("entry", "entry", "control")))
@@ -222,6 +255,55 @@
         await trio.sleep(8.0)
         self.busy.discard(name)
 
+    # Malformed input. It goes to processes of the current version only.
+
+    def choose_current(self, *roles):
+        """Return a random machine of the roles that has the current version, or None."""
+        machines = [m for m in self.site.machines.values() if m.role in roles and not m.tree]
+        return self.random.choice(machines) if machines else None
+
+    async def reset_connections(self):
+        """Open connections in bulk at all ports of a process, and reset them."""
+        machine = self.choose_current("entry", "control")
+        if machine is None:
+            return
+        self.log(f"reset connections at {machine.name}")
+        for address in machine.tcp_addresses():
+            await self.intruder.attempt(self.intruder.reset_connections, address)
+
+    async def send_malformed_input(self):
+        """Send malformed input to all ports of a process."""
+        machine = self.choose_current("entry", "control")
+        if machine is None:
+            return
+        self.log(f"send malformed input to {machine.name}")
+        ports = {"entry": (LINK_PORT, self.site.fabric_port), "control": (LINK_PORT,)}
+        await self.intruder.send_everything(
+            machine.tcp_addresses(),
+            [(machine.ip, port) for port in ports[machine.role]],
+            next(iter(self.operator.front_doors)),
+        )
+
+    async def send_malformed_calls(self):
+        """
+        Send heartbeats and configurations with invalid values to a control replica.
+
+        What a replica accepts reaches all processes, so all have the current version.
+        """
+        if any(machine.tree for machine in self.site.machines.values()):
+            return
+        machine = self.choose_current("control")
+        self.log(f"send malformed calls to {machine.name}")
+        address = (machine.ip, CONTROL_PORT)
+        for body in self.intruder.list_heartbeats():
+            await call(address, "POST", self.intruder.heartbeat_path(), body)
+        await self.operator.send_unusual_version(address, self.intruder.change_route)
+        for version in INVALID_VERSIONS:
+            body = self.operator.build_body(version)
+            status, _ = await call(address, "POST", REPLACE_PATH, body)
+            if status == 200:
+                self.site.record_violation(f"configuration version {version} was accepted")
+
     async def run(self, seconds):
         """Run random events for a time; in its last third, only planned changes."""
         deadline = trio.current_time() + seconds
--- a/bench/soak/http_client.py
+++ b/bench/soak/http_client.py
@@ -25,3 +25,23 @@
 async def call(address, method, path, body=b""):
     """Call (ip, port) in a thread; return (status, body), with status 0 for no answer."""
     return await trio.to_thread.run_sync(call_blocking, address, method, path, body)
+
+
+async def keep_calling(address, path, pause):
+    """Call (ip, port) regularly over one connection; open another one when it fails."""
+    while True:
+        connection = http.client.HTTPConnection(*address, timeout=CALL_TIMEOUT_SECONDS)
+        try:
+            while True:
+                await trio.to_thread.run_sync(get_blocking, connection, path)
+                await trio.sleep(pause)
+        except CALL_ERRORS:
+            await trio.sleep(pause)
+        finally:
+            connection.close()
+
+
+def get_blocking(connection, path):
+    """Send a request over a connection and read its answer."""
+    connection.request("GET", path)
+    connection.getresponse().read()
--- a/bench/soak/operator.py
+++ b/bench/soak/operator.py
@@ -38,10 +38,10 @@
         self.acknowledged_version = 0
 
     def build_body(self, version):
-        """Return the body of a version, with a front door that only this version has."""
-        front_doors = self.front_doors | {
-            (self.host, FIRST_VERSION_PORT + version): SERVICES[0]
-        }
+        """Return the body of a version; each valid one has a front door of its own."""
+        front_doors = dict(self.front_doors)
+        if version in range(1, self.version + 1):
+            front_doors[self.host, FIRST_VERSION_PORT + version] = SERVICES[0]
         for front_door, service in front_doors.items():
             self.site.ledger.front_doors.setdefault(front_door, set()).add(service)
         return build_configuration(version, front_doors, unsafe_ports=(443,))
@@ -71,6 +71,14 @@
             self.site.record_violation(f"configuration version {version} was not acknowledged")
         return False
 
+    async def send_unusual_version(self, address, change):
+        """Send the next version with a body that `change` returns; it may be refused."""
+        self.version += 1
+        version = self.version
+        status, _ = await call(address, "POST", REPLACE_PATH, change(self.build_body(version)))
+        if status == 200:
+            self.acknowledged_version = max(self.acknowledged_version, version)
+
     async def send_first_version(self):
         """Send versions until one is acknowledged; none is due while processes start."""
         while not await self.send_next_version(is_due=False):
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -13,20 +13,28 @@
 import attrs
 import trio
 
-from bench.soak.http_client import call
+from bench.soak.http_client import call, keep_calling
 from bench.soak.upstreams import Ledger
-from lycheevalve.tests.fakes.platform import READY_PATH
+from lycheevalve.logs.process_ends import find_error
+from lycheevalve.tests.fakes.platform import READ_PATH, READY_PATH
 
 ZONES = ("dc1", "dc2", "dc3", "dc4")
 SERVICES = ("nightsync", "restreport")
 LINK_PORT = 7600
 READY_PORT = 7601
 CONTROL_PORT = 7602
+METRICS_PORT = 7603
 KEY = "key-of-the-soak-not-secret"
 PROBE_INTERVAL_SECONDS = 0.5
 # The platform restarts an exited process after a short delay.
 RESTART_INTERVAL_SECONDS = 0.3
+CALL_INTERVAL_SECONDS = 0.3
 STOP_TIMEOUT_SECONDS = 8.0
+# Signals that end a process, with the exit codes that may follow: a process that is starting
+# has no handler for SIGTERM.
+EXIT_CODES = {signal.SIGTERM: (0, -signal.SIGTERM), signal.SIGKILL: (-signal.SIGKILL,)}
+# Events that say that a process met an error that the soak did not cause.
+FAILURE_EVENTS = ("task_failed", "ended")
 # An acknowledged evacuation must be in force at all instances within this time.
 EVACUATE_SECONDS = 3.0
 
@@ -44,6 +52,14 @@
     tree: object = None
     ready: bool = False
     failed_probes: int = 0
+    # The signals sent to the process, and whether its end was checked.
+    signals: set = attrs.field(factory=set)
+    is_exit_checked: bool = False
+
+    def tcp_addresses(self):
+        """Return the addresses at which the process accepts connections."""
+        ports = {"entry": (READY_PORT,), "control": (LINK_PORT, CONTROL_PORT)}[self.role]
+        return [(self.ip, port) for port in (*ports, METRICS_PORT)]
 
 
 @attrs.define(eq=False)
@@ -54,7 +70,8 @@
     fabric_port: int
     # The loopback network of this run is 127.NETWORK.*.*.
     network: int
-    entry_count: int = 4
+    entry_count: int
+    control_count: int
     machines: dict = attrs.field(factory=dict)
     ledger: Ledger = attrs.field(factory=Ledger)
     failures: collections.Counter = attrs.field(factory=collections.Counter)
@@ -70,9 +87,10 @@
     trees: tuple = (None,)
 
     def __attrs_post_init__(self):
-        for number, zone in enumerate(ZONES):
+        for number in range(self.control_count):
+            zone = ZONES[number % len(ZONES)]
             ip = f"127.{self.network}.1.{number + 1}"
-            self.add_machine(Machine(f"control-{zone}", "control", ip, zone))
+            self.add_machine(Machine(f"control-{number + 1}", "control", ip, zone))
         for number in range(self.entry_count):
             zone = ZONES[number % len(ZONES)]
             ip = f"127.{self.network}.2.{number + 1}"
@@ -82,6 +100,11 @@
         """Add a machine."""
         self.machines[machine.name] = machine
 
+    @property
+    def intruder_ip(self):
+        """Return the address that malformed input is sent from."""
+        return f"127.{self.network}.7.7"
+
     def machine_names(self, role):
         """Return the names of the machines of a role."""
         return [m.name for m in self.machines.values() if m.role == role]
@@ -108,6 +131,7 @@
             "founding": self.founding,
             "key": KEY,
             "heartbeat_ms": 500,
+            "metrics": f"{machine.ip}:{METRICS_PORT}",
         }
         if machine.role == "entry":
             values["packets"] = f"{machine.ip}:{self.fabric_port}"
@@ -140,6 +164,8 @@
         before the interpreter runs any code of the process.
         """
         machine = self.machines[name]
+        self.check_exit(machine)
+        machine.signals, machine.is_exit_checked = set(), False
         path = self.write_settings(machine)
         # The package in the working directory takes precedence over the installed one.
         environment = {**os.environ, **self.build_environment(machine)}
@@ -156,9 +182,10 @@
 
     def send_signal(self, name, number):
         """Send a signal to a machine's process if it is running."""
-        process = self.machines[name].process
-        if process is not None and process.poll() is None:
-            process.send_signal(number)
+        machine = self.machines[name]
+        if machine.process is not None and machine.process.poll() is None:
+            machine.signals.add(number)
+            machine.process.send_signal(number)
 
     async def wait_for_exit(self, name):
         """Wait until a machine's process has exited; kill it after a timeout."""
@@ -180,17 +207,52 @@
                 machine.process.wait()
 
     async def restart_exited(self, busy):
-        """Restart processes that exit outside of events; each such exit is a violation."""
+        """Check the exits of processes; restart those that exit outside of events."""
         while True:
             for name, machine in self.machines.items():
+                self.check_exit(machine)
                 if name not in busy and machine.process.poll() is not None:
-                    self.record_violation(
-                        f"{name} exited unexpectedly with code {machine.process.returncode}"
-                    )
-                    self.record_fault()
+                    self.record_violation(f"{name} was not running outside of an event")
                     self.start_process(name)
             await trio.sleep(RESTART_INTERVAL_SECONDS)
 
+    def check_exit(self, machine):
+        """Record the exit of a process as a violation unless a signal of the run caused it."""
+        process = machine.process
+        if process is None or process.poll() is None or machine.is_exit_checked:
+            return
+        machine.is_exit_checked = True
+        allowed = {code for n in machine.signals for code in EXIT_CODES.get(n, ())}
+        if process.returncode not in allowed:
+            names = sorted(signal.Signals(number).name for number in machine.signals)
+            self.record_violation(
+                f"{machine.name} exited with code {process.returncode} after signals {names}"
+            )
+            self.record_fault()
+
+    async def stop_all(self, busy):
+        """Stop all processes gracefully, and check their exits."""
+        busy.update(self.machines)
+        self.record_fault()
+        for name in self.machines:
+            self.send_signal(name, signal.SIGTERM)
+        for name, machine in self.machines.items():
+            await self.wait_for_exit(name)
+            self.check_exit(machine)
+
+    def check_logs(self):
+        """Record errors in the logs of all processes that no malformed input explains."""
+        for name in self.machines:
+            for text in find_failures(self.folder / f"{name}.jsonl", self.intruder_ip):
+                self.ledger.violations.append(f"{name} logged {text}")
+
+    async def keep_connections(self):
+        """Call all processes over connections that stay open until a process has exited."""
+        async with trio.open_nursery() as nursery:
+            for machine in self.machines.values():
+                for address in machine.tcp_addresses():
+                    nursery.start_soon(keep_calling, address, READ_PATH, CALL_INTERVAL_SECONDS)
+
     # The fabric.
 
     async def probe_entries(self):
@@ -266,3 +328,25 @@
         for request, count in self.ledger.runs.items():
             if count > 1:
                 self.record_violation(f"request {request} ran {count} times")
+
+
+def find_failures(path, excused_ip):
+    """
+    Return the failures in a log: events about them, and text that is no event.
+
+    Failures of connections from an address are excused, as malformed input caused them.
+    """
+    failures, texts = collections.Counter(), []
+    for line in path.read_text(errors="replace").splitlines():
+        try:
+            event = json.loads(line)
+        except ValueError:
+            # The line of a killed process may be cut.
+            texts += [line] if line.strip() and not line.startswith("{") else []
+            continue
+        if event["event"] in FAILURE_EVENTS and excused_ip not in event.get("peer", ""):
+            place = f"{event['event']}: {event['error']} at {event['place']}"
+            failures[place] += 1
+    if texts:
+        failures[f"text that is no event: {find_error(texts)}"] += 1
+    return [f"{text} ({count} times)" for text, count in failures.items()]
--- a/lycheevalve/logs/process_ends.py
+++ b/lycheevalve/logs/process_ends.py
@@ -62,11 +62,6 @@
         """Return the time of the last line; 0 without any."""
         return self.lines[-1].at if self.lines else 0.0
 
-    def error_text(self):
-        """Return the last error in the texts, or their last line; empty without texts."""
-        errors = [match[1] for text in self.texts if (match := ERROR_TEXT.search(text))]
-        return errors[-1] if errors else "".join(self.texts[-1:]).strip()
-
 
 @attrs.define
 class EndsReport:
@@ -79,6 +74,12 @@
     missing: list
 
 
+def find_error(texts):
+    """Return the last error in lines of text, or the last line; empty without lines."""
+    errors = [match[1] for text in texts if (match := ERROR_TEXT.search(text))]
+    return errors[-1] if errors else "".join(texts[-1:]).strip()
+
+
 def split_runs(logs):
     """Return the ProcessRuns of parsed logs, in the order of their first lines."""
     runs = [run for name, lines in logs.files.items() for run in split_file(name, lines)]
@@ -176,7 +177,7 @@
     findings = describe_failed_tasks(run)
     at = run.last_at
     prefix = f"{format_time(at)} {run.instance}"
-    ended, text = run.find("ended"), run.error_text()
+    ended, text = run.find("ended"), find_error(run.texts)
     recorded = run.successor.find("previous_end") if run.successor else None
     reason = recorded.fields.get("reason") if recorded else ""
     if ended:
