--- a/lycheevalve/daemon/ends.py
+++ b/lycheevalve/daemon/ends.py
@@ -28,6 +28,7 @@
     read_run_record,
     write_run_record,
 )
+from lycheevalve.daemon.boundaries import find_place
 from lycheevalve.exceptions import LycheevalveError, SettingsError
 from lycheevalve.logs.queue import record, writer
 
@@ -43,7 +44,6 @@
 # A record that can't be written, as on a full disk, is tried again after this time.
 RETRY_INTERVAL_SECONDS = 5.0
 MAX_ERROR_CHARACTERS = 1000
-PACKAGE = __name__.partition(".")[0]
 
 
 @attrs.define(eq=False)
@@ -139,16 +139,6 @@
     return error
 
 
-def find_place(error):
-    """Return the innermost line of this package that an error passed, as `module:line`."""
-    place = ""
-    for frame, line in traceback.walk_tb(error.__traceback__):
-        module = frame.f_globals.get("__name__", "")
-        if module.startswith(PACKAGE):
-            place = f"{module}:{line}"
-    return place
-
-
 def describe_error(error):
     """Return the type and message of an error; empty without one."""
     if error is None:
--- a/lycheevalve/logs/timeline.py
+++ b/lycheevalve/logs/timeline.py
@@ -35,6 +35,7 @@
         "thawed",
         "ready",
         "in_force",
+        "not_applied",
         "replica",
         "replica_stopped",
         "source_lost",
