Serve previous ends and restarts with all labels from the first scrape

A rate over a counter misses the increase of a label that appears with its first event, so an alert on the first end of a process would not fire.

--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -80,7 +80,7 @@
     control_addresses: set[str] = attrs.field(factory=set)
     settled: bool = False
     # The number of restarts of subscribers by role.
-    restarts: collections.Counter = attrs.field(factory=collections.Counter)
+    restarts: dict = attrs.field(factory=lambda: dict.fromkeys(ROLE_NAMES.values(), 0))
     # The last answers, by what they depend on, and when the first of them was built.
     answers: dict[tuple, News] = attrs.field(factory=dict)
     answers_since: float = float("-inf")
--- a/lycheevalve/daemon/ends.py
+++ b/lycheevalve/daemon/ends.py
@@ -51,7 +51,7 @@
     """The run of this process, with the ends of earlier ones in its data folder by reason."""
 
     started_at: float = attrs.field(factory=time.time)
-    # "start", "run" or "stop".
+    # "start" or "run".
     step: str = "start"
     folder: object = None
     previous_ends: dict = attrs.field(factory=dict)
--- a/lycheevalve/daemon/exposition.py
+++ b/lycheevalve/daemon/exposition.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lycheevalve import __version__
+from lycheevalve.coordination.run_record import REASONS
 from lycheevalve.daemon.boundaries import failures
 from lycheevalve.daemon.ends import current_run
 from lycheevalve.daemon.http import Response, Server
@@ -47,7 +48,8 @@
     left_out = {(name,): count for name, count in queue.left_out_total.items()}
     build = Metric("gauge", "build_info", "1, labelled with the version.", ("version",))
     build.samples.append(((__version__,), 1))
-    ends = {(reason,): count for reason, count in current_run.previous_ends.items()}
+    # All reasons, since an increase from no sample is not visible to Prometheus.
+    ends = {(reason,): current_run.previous_ends.get(reason, 0) for reason in REASONS}
     return [
         build,
         gauge(
@@ -57,7 +59,7 @@
             "previous_ends",
             "Ends of earlier processes that used this data folder.",
             ("reason",),
-            ends,
+            ends if current_run.folder is not None else {},
         ),
         counter(
             "log_lines_left_out",
--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -194,7 +194,8 @@
             counts = read_metric(replica, "previous_ends_total")
         finally:
             replica.stop()
-        assert counts == {("stopped",): 1, ("lost",): 2}
+        others = {("settings",): 0, ("error",): 0, ("unknown",): 0}
+        assert counts == {("stopped",): 1, ("lost",): 2, **others}
         reasons = [event["reason"] for event in replica.read_events("previous_end")]
         assert reasons == ["stopped", "lost", "lost"]
 
@@ -222,7 +223,8 @@
             entry.start().wait_until_started()
             [restart] = wait_for(lambda: replica.read_events("instance_restarted"))
             assert read_metric(entry, "start_time_seconds")[()] > started_at
-            assert read_metric(replica, "instance_restarts_total") == {("entry",): 1}
+            restarts = read_metric(replica, "instance_restarts_total")
+            assert restarts == {("entry",): 1, ("control",): 0}
             entry.process.send_signal(signal.SIGTERM)
             assert entry.process.wait() == 0
         finally:
--- a/lycheevalve/tests/test_feeds.py
+++ b/lycheevalve/tests/test_feeds.py
@@ -304,4 +304,4 @@
         cluster.cuts.discard(pair)
         cluster.run(3.0)
         assert feed.subscribers[cluster.entries[0]].polled_at > cluster.now - 2.0
-        assert not feed.restarts
+        assert feed.restarts == {"entry": 0, "control": 0}
