Write the log of a stopped process before its record on disk

A disk that does not answer would keep the last lines of the process from being written. The test failed before: the steps were record, log.

--- a/lycheevalve/daemon/ends.py
+++ b/lycheevalve/daemon/ends.py
@@ -96,9 +96,9 @@
     """Log and record the end of the process, by an error or not; return its exit code."""
     cause = find_cause(error)
     code, reason = next((c, r) for kind, c, r in EXITS if isinstance(cause, kind))
+    # What preceded the end comes before the stack, and before a disk that may not answer.
+    write_log()
     if cause is not None and not isinstance(cause, EXPLAINED_ERRORS):
-        # After the lines of what preceded it.
-        write_log()
         traceback.print_exception(error)
     details = {
         "code": code,
--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -170,6 +170,14 @@
         assert ends.run_to_end(lambda: raise_error(ValueError("x")), str(missing)) == 1
         assert [name for name, _ in records] == ["starting", "run_not_recorded", "ended"]
 
+    def test_log_is_written_before_the_record(self, records, monkeypatch, tmp_path):
+        """Guards against a stop without its last lines when the disk does not answer."""
+        steps = []
+        monkeypatch.setattr(ends, "write_log", lambda: steps.append("log"))
+        monkeypatch.setattr(ends.Run, "record_state", lambda *_: steps.append("record"))
+        ends.run_to_end(lambda: None, str(tmp_path))
+        assert steps == ["log", "record", "log"]
+
     def test_end_whose_log_cannot_be_written(self, records, monkeypatch, capsys):
         """Guards against an end without any line when descriptors or memory are exhausted."""
         monkeypatch.setattr(ends, "writer", None)
