--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -21,6 +21,7 @@
     keep_serving,
     report_failure,
 )
+from lycheevalve.daemon.ends import record_start
 from lycheevalve.daemon.links import Links, make_codec_factory, serve_links
 from lycheevalve.daemon.metrics import StatsdMetrics
 from lycheevalve.daemon.replica_task import PROPOSALS, REPLICA_MESSAGES, ReplicaTask
@@ -92,6 +93,7 @@
             record(
                 "started", role="instance", address=self.settings.address, version=__version__
             )
+            nursery.start_soon(record_start)
             task_status.started(self)
             await self.run_instance()
             nursery.cancel_scope.cancel()
--- a/lycheevalve/daemon/main.py
+++ b/lycheevalve/daemon/main.py
@@ -1,5 +1,6 @@
 """Entry point of `lycheevalved`: settings, logs, signals, then the process."""
 
+import functools
 import signal
 import sys
 
@@ -8,6 +9,7 @@
 
 from lycheevalve.config.files import read_key
 from lycheevalve.config.instance import changed_options, load_instance_settings
+from lycheevalve.daemon.ends import run_to_end
 from lycheevalve.daemon.events import Reload, Stop
 from lycheevalve.daemon.instance import InstanceProcess
 from lycheevalve.exceptions import LycheevalveError
@@ -77,10 +79,8 @@
     set_up_logs(loaded.log_level, instance=loaded.name, site=loaded.site)
     for warning in warnings:
         record("setting_warning", reason=warning)
-    try:
-        trio.run(run_process, loaded, key, path)
-    finally:
-        writer.close()
+    process = functools.partial(trio.run, run_process, loaded, key, path)
+    sys.exit(run_to_end(process, loaded.data_folder))
 
 
 def main():
--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bench.deployment import Deployment
+from lycheevalve.coordination.run_record import STOPPED, read_run_record
 from lycheevalve.utils.addresses import parse_address
 
 # A condition must hold within this time, which is far longer than any step takes: these
@@ -189,6 +190,12 @@
         states = {e["name"]: e["state"] for e in read_status(site)["instances"]}
         assert states["a4"].startswith("left")
 
+    def test_end_of_a_replica_is_recorded(self, site):
+        """Guards against ends that nothing shows once the logs are gone."""
+        site.signal("a3", signal.SIGTERM)
+        assert site.processes["a3"].wait(WAIT_TIMEOUT_SECONDS) == 0
+        assert read_run_record(site.folder / "data-a3").state == STOPPED
+
 
 class TestEvacuation:
     """The commands that evacuate a data centre and take it back."""
