--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 import signal
-import socket
+import sys
 
 import pytest
 from hypothesis import given
@@ -28,6 +28,18 @@
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
 from lycheevalve.utils.addresses import format_address
 
+# A program whose process fails while it starts, with an error that nothing explains.
+FAILING_START = """
+import sys
+from lycheevalve.platform import run
+
+async def fail(*_):
+    raise ValueError("no start")
+
+run.run_process = fail
+sys.exit(run.run(sys.argv[1]))
+"""
+
 
 def read_metric(process, name):
     """Return the samples of a process's metric as {label values: value}."""
@@ -211,12 +223,12 @@
         """Guards against a traceback that is attributed to the run before it in the log."""
         replica = build_control(tmp_path).start().wait_until_started()
         replica.stop()
-        with socket.create_server(replica.address("operators")):
-            assert replica.start().process.wait() != 0
+        replica.command = (sys.executable, "-c", FAILING_START)
+        assert replica.start().process.wait() == 1
         logs = parse_logs({"control-1.jsonl": replica.read_output().splitlines()})
         lost, ended = build_report("control-1", logs).findings
         assert "ended without a last line: killed" in lost
-        assert "ended with code" in ended and "in use" in ended
+        assert "ended with code 1: ValueError: no start" in ended
         assert "step start" in ended
 
     def test_control_replica_reports_instances_that_restart(self, tmp_path):
