Close an HTTP connection whose peer doesn't read its answer

What operators could see: a peer that vanishes while it is sent a large answer keeps its connection open for as long as TCP repeats the data. A thousand of them, and the server refuses all others.

Cause: reading a request was bounded in time, writing an answer was not.

Evidence: test_answer_that_is_not_read timed out (TooSlowError after 20 s) without the bound.

Change: an answer is written within 30 s, or the connection is closed and logged as answer_failed.

--- a/lycheevalve/daemon/http_connection.py
+++ b/lycheevalve/daemon/http_connection.py
@@ -12,6 +12,8 @@
 REQUEST_TIMEOUT_SECONDS = 5.0
 # A connection is closed when no request arrives within this time.
 IDLE_TIMEOUT_SECONDS = 30.0
+# A connection whose peer does not read an answer is closed after this time.
+WRITE_TIMEOUT_SECONDS = 30.0
 
 
 async def serve_requests(stream, peer, handle):
@@ -20,8 +22,8 @@
     try:
         while await serve_request(connection, stream, peer, handle):
             connection.start_next_cycle()
-    except h11.LocalProtocolError as error:
-        record("answer_failed", peer=peer, reason=str(error))
+    except (h11.LocalProtocolError, trio.TooSlowError) as error:
+        record("answer_failed", peer=peer, reason=repr(error))
 
 
 async def serve_request(connection, stream, peer, handle):
@@ -109,4 +111,5 @@
     if response.body and not (head and head.method == b"HEAD"):
         data += connection.send(h11.Data(data=response.body))
     data += connection.send(h11.EndOfMessage())
-    await stream.send_all(data)
+    with trio.fail_after(WRITE_TIMEOUT_SECONDS):
+        await stream.send_all(data)
--- a/lycheevalve/tests/test_http.py
+++ b/lycheevalve/tests/test_http.py
@@ -11,6 +11,10 @@
 
 POST = b"POST /call HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
 
+# The status and body of the answers that are no echo; a status has three digits, and the
+# sockets buffer less than the large body.
+ANSWERS = {"/unwritable": (1000, b""), "/large": (200, bytes(64 * 1024 * 1024))}
+
 
 def find_address():
     """Return a free loopback address."""
@@ -25,7 +29,8 @@
 
     async def echo(request):
         requests.append(request)
-        return Response(1000 if request.path == "/unwritable" else 200, request.body)
+        status, body = ANSWERS.get(request.path, (200, request.body))
+        return Response(status, body)
 
     async def main():
         address = find_address()
@@ -214,6 +219,30 @@
         monkeypatch.setattr(http_connection, "REQUEST_TIMEOUT_SECONDS", 0.1)
         assert len(self.check_rejected(POST[:-2], b"408")) == 1
 
+    def test_answer_that_is_not_read(self, monkeypatch):
+        """Such connections stayed open, until the server refused all further ones."""
+        monkeypatch.setattr(http_connection, "WRITE_TIMEOUT_SECONDS", 0.2)
+        monkeypatch.setattr(http, "MAX_CONNECTIONS", 1)
+
+        async def is_served(connect):
+            """Return whether the server answers on a new connection."""
+            async with await connect() as stream:
+                try:
+                    await stream.send_all(POST)
+                    return b"200" in await stream.receive_some(65_536)
+                except trio.BrokenResourceError:
+                    return False
+
+        async def client(connect):
+            async with await connect() as stream:
+                await stream.send_all(POST.replace(b"/call", b"/large"))
+                assert await stream.receive_some(1) == b"H"
+                while not await is_served(connect):
+                    await trio.sleep(0.01)
+
+        first, second = serve(client)
+        assert (first.path, second.path) == ("/large", "/call")
+
     def test_too_many_connections(self, monkeypatch):
         monkeypatch.setattr(http, "MAX_CONNECTIONS", 1)
 
