Limit the length of the reason of a refused call

A refusal quotes names of the call, so that a configuration with a name of a megabyte made a log line and an answer of that size. Reasons have at most 500 characters. The new test failed before ("assert 1000062 < 1000").

--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -19,6 +19,8 @@
 RESTORE = ("POST", "/Evacuations.Stop/")
 HEARTBEAT = ("POST", "/Instances.Heartbeat/")
 DEREGISTER = ("POST", "/Instances.Deregister/")
+# Reasons quote names and values of the call, which may have any length.
+MAX_REASON_LENGTH = 500
 # The log event for each error of an invalid call.
 REFUSALS = {SettingsError: "refused", AnnouncementError: "announcement_refused"}
 
@@ -39,8 +41,9 @@
         record("unavailable", call=handle.__name__, reason=str(error))
         response = build_error(503, str(error))
     except tuple(REFUSALS) as error:
-        record(REFUSALS[type(error)], reason=str(error), peer=request.peer)
-        response = build_error(400, str(error))
+        reason = str(error)[:MAX_REASON_LENGTH]
+        record(REFUSALS[type(error)], reason=reason, peer=request.peer)
+        response = build_error(400, reason)
     process.count_call(handle.__name__, response.status)
     return response
 
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -372,6 +372,13 @@
         assert json.loads(response.body)["error"]
         assert process.announced == process.proposed == process.deregistered == []
 
+    def test_reason_of_a_refusal_is_short(self):
+        """A log line or an answer of megabytes delays others."""
+        body = encode(build_value(7, service="s" * 1_000_000))
+        response = call(FakeProcess(), "POST", "/Config.Replace", body)
+        assert response.status == 400
+        assert len(response.body) < 1000
+
     def test_order_that_cannot_be_encoded_is_refused(self, monkeypatch):
         """The name of a data centre comes from the path, where the site has no list of them."""
         monkeypatch.setattr(FakeProcess.Settings, "data_centres", ())
