Keep reporting damage until a hard state is stored, and sync at the start

Three faults of a replica's files, found by reading and shown by tests:

- Damaged files were set aside, and the disk was full when the new log was opened.
The next load found an empty folder and no damage: a process of a founding site became a voter with an empty log, having forgotten its votes and acknowledged entries.
The test failed with "assert 'set aside' in ''".
Damage is now reported as long as a file that was set aside exists and no hard state is stored, so it also survives an end of the process.
- A process that was killed after a write and before its sync read the records from the page cache at its next start, and acknowledged them without a sync; a power loss then took acknowledged entries away.
The test failed because the log was never synced.
A log with content is now synced at the start.
- A replacement that failed left the part that was written behind, which may be the last space of the disk.
The tests failed with "['log', 'log.new'] == ['log']".
It is removed, after a failure and at the start.

--- a/lycheevalve/coordination/storage.py
+++ b/lycheevalve/coordination/storage.py
@@ -4,10 +4,11 @@
 A record is a header (length, kind, CRC-32 of the header) and a body with its
 CRC-32. A file that ends inside its last record was truncated by a crash before
 the sync, so the incomplete record is dropped. Any other damage means that
-acknowledged entries may be lost: it is reported, and the replica must recover
-from the others.
+acknowledged entries may be lost: it is reported until a new hard state is stored,
+and the replica must recover from the others.
 """
 
+import contextlib
 import enum
 import os
 import struct
@@ -24,6 +25,8 @@
 CHECKSUM = struct.Struct(">I")
 LOG_NAME = "log"
 SNAPSHOT_NAME = "snapshot"
+DAMAGED_SUFFIX = ".damaged"
+TEMPORARY_SUFFIX = ".new"
 TRUNCATION = struct.Struct(">q")
 
 
@@ -95,11 +98,20 @@
 
 
 def replace_file(path, data, sync=os.fsync):
-    """Replace a file atomically: write a temporary file, sync, rename, sync the folder."""
-    temporary = path.with_name(f"{path.name}.new")
-    with open(temporary, "wb", buffering=0) as file:
-        write_whole(file, data, sync)
-    temporary.replace(path)
+    """
+    Replace a file atomically: write a temporary file, sync, rename, sync the folder.
+
+    After a failure the temporary file is removed, as it may hold the last space.
+    """
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    try:
+        with open(temporary, "wb", buffering=0) as file:
+            write_whole(file, data, sync)
+        temporary.replace(path)
+    except OSError:
+        with contextlib.suppress(OSError):
+            temporary.unlink(missing_ok=True)
+        raise
     sync_folder(path.parent)
 
 
@@ -127,6 +139,8 @@
         """
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
+            for name in (LOG_NAME, SNAPSHOT_NAME):
+                (self.folder / (name + TEMPORARY_SUFFIX)).unlink(missing_ok=True)
             try:
                 self.read_files()
             except (StorageError, FrameError) as error:
@@ -136,9 +150,13 @@
             if rewrite:
                 self.rewrite_log()
             self.open_log()
+            if self.file.tell():
+                # A process that was killed before the sync left records in the page cache.
+                self.sync(self.file.fileno())
         except OSError as error:
             raise StorageError(str(error), "open data folder", str(self.folder)) from error
-        return Stored(self.hard_state, self.snapshot, list(self.entries))
+        damage = self.find_damage()
+        return Stored(self.hard_state, self.snapshot, list(self.entries), damage)
 
     def read_files(self):
         """Read the snapshot and the log into memory; truncate an incomplete tail of the log."""
@@ -182,13 +200,22 @@
                     f"entry {base + position + 1} is missing from the log", "read log"
                 )
 
+    def find_damage(self):
+        """Return why nothing is known of earlier votes and entries, or ''."""
+        if self.hard_state is None:
+            for name in (LOG_NAME, SNAPSHOT_NAME):
+                damaged = self.folder / (name + DAMAGED_SUFFIX)
+                if damaged.exists():
+                    return f"nothing was stored since {damaged.name} was set aside"
+        return ""
+
     def set_aside(self):
         """Rename damaged files, to keep them for inspection, and discard their content."""
         self.hard_state, self.snapshot, self.entries = None, None, []
         for name in (LOG_NAME, SNAPSHOT_NAME):
             path = self.folder / name
             if path.exists():
-                path.replace(self.folder / f"{name}.damaged")
+                path.replace(self.folder / (name + DAMAGED_SUFFIX))
 
     def open_log(self):
         """Open the log for appending."""
--- a/lycheevalve/tests/test_storage.py
+++ b/lycheevalve/tests/test_storage.py
@@ -1,5 +1,7 @@
 """Storage of a replica: truncated logs, flipped bytes, full disks, failing syncs."""
 
+import errno
+import os
 import random
 import tempfile
 from pathlib import Path
@@ -10,7 +12,7 @@
 
 from lycheevalve.coordination import consensus, upstream_cache
 from lycheevalve.coordination.replica import Effects, Role
-from lycheevalve.coordination.storage import LOG_NAME, Storage
+from lycheevalve.coordination.storage import LOG_NAME, SNAPSHOT_NAME, Storage
 from lycheevalve.coordination.upstream_cache import (
     RESTORED_LEASE_MS,
     read_upstream_cache,
@@ -27,6 +29,11 @@
     return [Entry(i, term, 1, build_change(f"c{i}", i - 1)) for i in range(first, last + 1)]
 
 
+def raise_full(*_):
+    """Fail as an operation on a full disk."""
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
 def write_sample_log(folder, count=4):
     """Write a hard state and `count` entries, one sync each; return the sizes of the log."""
     storage = Storage(folder)
@@ -145,6 +152,35 @@
         (tmp_path / LOG_NAME).unlink()
         assert "missing" in Storage(tmp_path).load().damage
 
+    def test_damage_is_reported_until_a_hard_state_is_stored(self, tmp_path, monkeypatch):
+        """
+        A founding replica started as a voter with an empty log, and forgot its votes.
+
+        The disk was full when the files that replace the damaged ones were written.
+        """
+        write_sample_log(tmp_path)
+        data = bytearray((tmp_path / LOG_NAME).read_bytes())
+        data[40] ^= 1
+        (tmp_path / LOG_NAME).write_bytes(data)
+        with monkeypatch.context() as patch:
+            patch.setattr(Storage, "open_log", raise_full)
+            with pytest.raises(StorageError, match="No space"):
+                Storage(tmp_path).load()
+        for _ in range(2):
+            storage = Storage(tmp_path)
+            stored = storage.load(rewrite=True)
+            storage.close()
+            assert "set aside" in stored.damage
+            replica = consensus.start_replica(
+                "r1", ["r1", "r2"], random.Random(1), stored, 0.0, founding=True
+            )
+            assert replica.role is Role.RECOVERING
+        storage = Storage(tmp_path)
+        storage.load()
+        storage.write(replica.take_effects())
+        storage.close()
+        assert Storage(tmp_path).load().damage == ""
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_are_read_or_rejected(self, data):
         with tempfile.TemporaryDirectory() as folder:
@@ -174,6 +210,47 @@
             with pytest.raises(StorageError, match="No space left"):
                 storage.write(Effects(entries=build_entries(1, 1)))
 
+    def test_records_without_a_sync_are_synced_at_the_next_start(self, tmp_path):
+        """A process that was killed before the sync acknowledged them after its restart."""
+        write_sample_log(tmp_path)
+        synced = []
+
+        def sync(descriptor):
+            synced.append(os.fstat(descriptor).st_ino)
+            os.fsync(descriptor)
+
+        storage = Storage(tmp_path, sync=sync)
+        assert len(storage.load().entries) == 4
+        assert (tmp_path / LOG_NAME).stat().st_ino in synced
+        storage.close()
+
+    @pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO, errno.EROFS])
+    def test_failed_replacement_leaves_no_file_behind(self, tmp_path, monkeypatch, error):
+        """The part that was written kept the last space of the disk."""
+        write_sample_log(tmp_path)
+
+        def fail(file, data, sync):
+            file.write(data[: len(data) // 2])
+            raise OSError(error, os.strerror(error))
+
+        before = (tmp_path / LOG_NAME).read_bytes()
+        with monkeypatch.context() as patch:
+            patch.setattr("lycheevalve.coordination.storage.write_whole", fail)
+            with pytest.raises(StorageError, match=os.strerror(error)):
+                Storage(tmp_path).load(rewrite=True)
+        assert [path.name for path in tmp_path.iterdir()] == [LOG_NAME]
+        assert (tmp_path / LOG_NAME).read_bytes() == before
+
+    def test_temporary_files_of_a_killed_process_are_removed(self, tmp_path):
+        """They kept space until the next snapshot."""
+        write_sample_log(tmp_path)
+        for name in (LOG_NAME, SNAPSHOT_NAME):
+            (tmp_path / f"{name}.new").write_bytes(b"part")
+        storage = Storage(tmp_path)
+        storage.load()
+        storage.close()
+        assert [path.name for path in tmp_path.iterdir()] == [LOG_NAME]
+
     def test_unwritable_folder_is_an_error(self, tmp_path):
         (tmp_path / "file").write_text("")
         with pytest.raises(StorageError, match="open data folder"):
