--- a/lycheevalve/coordination/replication.py
+++ b/lycheevalve/coordination/replication.py
@@ -117,9 +117,13 @@
         return
     snapshot = message.snapshot
     if snapshot.index > replica.commit:
-        replica.log.entries = []
-        replica.effects.entries = []
-        replica.effects.truncate_from = 1
+        if replica.log.term_at(snapshot.index) == snapshot.term:
+            # The entries after the snapshot may be acknowledged, and are kept.
+            replica.log.compact(snapshot)
+        else:
+            replica.log.entries = []
+            replica.effects.entries = []
+            replica.effects.truncate_from = 1
         replica.effects.snapshot = snapshot
         replica.effects.configuration_changed = True
         replica.load_snapshot(snapshot)
@@ -147,7 +151,8 @@
             # The next tick sends the commit index to the other replicas.
             replica.heartbeat_at = now
     else:
-        progress.next = max(1, min(progress.next - 1, message.match + 1))
+        # A late answer names an entry at or after `next`, and lowers nothing.
+        progress.next = max(progress.match + 1, min(progress.next, message.match + 1))
     readmit_if_ready(replica, sender, progress)
     confirm_reads(replica)
     if progress.next <= replica.log.last_index() and message.round == replica.round:
--- a/lycheevalve/tests/test_consensus.py
+++ b/lycheevalve/tests/test_consensus.py
@@ -7,8 +7,14 @@
 
 from lycheevalve.coordination import consensus
 from lycheevalve.coordination.configuration import Outcome
-from lycheevalve.coordination.replica import Role
-from lycheevalve.schema.generated.messages import Vote, VoteRequest
+from lycheevalve.coordination.replica import Progress, Role
+from lycheevalve.schema.generated.messages import (
+    Appended,
+    Install,
+    Snapshot,
+    Vote,
+    VoteRequest,
+)
 from lycheevalve.tests.fakes.faults import ReplicaFaults
 from lycheevalve.tests.fakes.replicas import ReplicaCluster, build_change
 
@@ -251,6 +257,64 @@
         assert start_cluster(5).is_settled()
 
 
+class TestLateAnswers:
+    """Answers to a leader that arrive late, and in any order."""
+
+    def start_term(self):
+        """Return a cluster that has committed four changes, and its leader."""
+        replicas = start_cluster()
+        for number in range(4):
+            commit_change(replicas, f"c{number}", number)
+        replicas.run_until(lambda: False, 10)
+        (leader,) = replicas.leaders()
+        return replicas, leader
+
+    def test_late_rejections_do_not_lower_the_next_entry(self):
+        """Each one lowered it, until a snapshot was sent in place of the entries."""
+        replicas, leader = self.start_term()
+        replica = replicas.running[leader]
+        follower = next(name for name in replicas.names if name != leader)
+        replica.progress[follower] = Progress(replica.log.last_index() + 1)
+        incarnation = replicas.running[follower].hard_state.incarnation
+        for _ in range(20):
+            rejection = Appended(replica.hard_state.term, False, 3, 1, False, incarnation)
+            consensus.handle(replica, follower, rejection, replicas.now)
+        assert replica.progress[follower].next == 4
+
+    def test_late_rejection_does_not_lower_what_is_acknowledged(self):
+        replicas, leader = self.start_term()
+        replica = replicas.running[leader]
+        follower = next(name for name in replicas.names if name != leader)
+        progress = replica.progress[follower]
+        assert progress.match == replica.log.last_index()
+        rejection = Appended(replica.hard_state.term, False, 0, 1, False, progress.incarnation)
+        consensus.handle(replica, follower, rejection, replicas.now)
+        assert progress.next == progress.match + 1
+
+    def test_snapshot_keeps_the_entries_after_it(self):
+        """A follower dropped entries that it had acknowledged, and that were committed."""
+        replicas, leader = self.start_term()
+        follower = next(name for name in replicas.names if name != leader)
+        held = replicas.running[leader].log
+        snapshot = Snapshot(
+            3,
+            held.term_at(3),
+            list(replicas.names),
+            replicas.running[leader].state_machine.configuration,
+        )
+        replicas.crash(follower)
+        replicas.restart(follower)
+        replica = replicas.running[follower]
+        assert (replica.commit, replica.log.last_index()) == (0, held.last_index())
+        term = replica.hard_state.term
+        consensus.handle(replica, leader, Install(term, snapshot, 1), replicas.now)
+        replicas.apply_effects(follower)
+        assert (replica.commit, replica.log.last_index()) == (3, held.last_index())
+        replicas.crash(follower)
+        replicas.restart(follower)
+        assert replicas.running[follower].log.last_index() == held.last_index()
+
+
 class TestVotes:
     """Votes persist across restarts."""
 
