--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -131,6 +131,12 @@
         {"cookie": int, "reachable": bool},
     ),
     Event("in_force", INFO, "A configuration took effect on this instance.", {"revision": int}),
+    Event(
+        "not_applied",
+        ERROR,
+        "A configuration is unreadable; the earlier one stays in effect on this instance.",
+        {"revision": int, "reason": str},
+    ),
     Event(
         "ready",
         INFO,
@@ -268,10 +274,16 @@
         "announcement_refused",
         WARNING,
         "An announcement of an upstream was refused.",
-        {"reason": str},
+        {"reason": str, "peer": str},
     ),
 )
 PROCESS_EVENTS = (
+    Event(
+        "starting",
+        INFO,
+        "The first line of a process, before it opens its addresses and files.",
+        {"pid": int, "version": str},
+    ),
     Event(
         "started", INFO, "The process started.", {"role": str, "address": str, "version": str}
     ),
@@ -283,6 +295,30 @@
         {},
     ),
     Event("stopped", INFO, "The process stopped.", {}),
+    Event(
+        "ended",
+        ERROR,
+        "The last line of a process that an error ended while it did `step`.",
+        {"code": int, "reason": str, "error": str, "place": str, "step": str},
+    ),
+    Event(
+        "previous_end",
+        INFO,
+        "How the previous process of this data folder ended; `lost` without a last line.",
+        {"reason": str, "error": str, "place": str, "step": str},
+    ),
+    Event(
+        "run_not_recorded",
+        WARNING,
+        "The start or end of this process could not be recorded in its data folder.",
+        {"reason": str},
+    ),
+    Event(
+        "instance_restarted",
+        INFO,
+        "Another process polls from this address, `silent_ms` after the previous one.",
+        {"peer": str, "role": str, "data_centre": str, "silent_ms": int},
+    ),
     Event("reloaded", INFO, "Settings were reloaded.", {"changed": list, "warnings": list}),
     Event(
         "not_reloaded",
@@ -336,9 +372,16 @@
     Event(
         "task_failed",
         ERROR,
-        "An error ended one unit of work; `place` is the file and line that raised it.",
+        "An error ended one unit of work; `place` is the module and line that it passed last.",
         {"task": str, "peer": str, "error": str, "place": str},
     ),
+    Event(
+        "answer_failed",
+        WARNING,
+        "An HTTP answer could not be written; its connection was closed.",
+        {"peer": str, "reason": str},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
 )
 
 EVENTS = {
