Restart a replica after any error, and refer its callers to the leader

- An error of one message, of one answer or of a change that can't be encoded left the replica's task and ended the process.

The replica now starts again from its files after any error, as after one of its disk: nothing that is not in the files was acknowledged. The message that failed is dropped. All queries without an answer are refused at once, also when a leader steps down, instead of being left to the timeout of their callers. While it is stopped, the replica keeps track of the leader from the messages that it receives, and refers queries to it. Messages that waited in the inbox during the failure no longer make it current.

A change that can't be encoded is refused before it is proposed: each leader that took it would have failed in turn.

--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -10,6 +10,7 @@
 from lycheevalve.coordination.replacement import replace_lost_member
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.storage import Storage
+from lycheevalve.daemon.boundaries import contain, report_failure
 from lycheevalve.daemon.events import (
     Committed,
     Learners,
@@ -21,23 +22,30 @@
 )
 from lycheevalve.exceptions import StorageError
 from lycheevalve.logs.queue import record
+from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import (
+    Append,
     Change,
     ChangeMembers,
     ChangeResult,
+    Install,
     ReadRequest,
     ReadResult,
 )
 
 MAX_TICK_INTERVAL_SECONDS = 0.1
-# A replica whose disk failed loads its files again after this time.
-DISK_RETRY_DELAY_SECONDS = 0.5
+# A replica that failed loads its files again after this time.
+RETRY_DELAY_SECONDS = 0.5
+# Messages that only the leader of a term sends.
+LEADER_MESSAGES = (Append, Install)
 
 
 class ReplicaTask:
     """
     Owns one replica, its storage and the replies to pending requests.
 
+    After an error of its disk, or an unexpected one of a message, the replica is
+    created again from its files: what is not in the files was not acknowledged.
     `send(name, message)` sends to other replicas; events for the task that owns the
     process go to the channel `owner_inbox`.
     """
@@ -62,32 +70,45 @@
         self.target_member_count = target_member_count
         self.storage = None
         self.replica = None
-        self.pending_replies = {}
+        # Reply -> message of each query without an answer.
+        self.pending = {}
         self.learners = set()
+        # The leader to which queries are referred while the replica is stopped.
+        self.leader = ""
         self.view = None
 
     async def run(self, inbox):
-        """Run the replica; after a disk failure start it again from its files."""
+        """Run the replica until its inbox is closed; after an error start it again."""
         failed = False
         while True:
             try:
-                await self.run_until_disk_failure(inbox, failed)
+                await self.run_until_failure(inbox, failed)
+            except trio.EndOfChannel:
+                return
             except StorageError as error:
-                failed = True
-                await self.refuse_until_retry(error, inbox)
+                reason = str(error)
+            except Exception as error:
+                report_failure("replica", error)
+                reason = repr(error)
+            failed = True
+            await self.refuse_until_retry(reason, inbox)
 
-    async def run_until_disk_failure(self, inbox, failed):
-        """Load the replica from its files and run it until the disk fails."""
+    async def run_until_failure(self, inbox, failed):
+        """Load the replica from its files and run it until there is an error."""
+        self.replica = None
         self.storage = Storage(self.folder)
         try:
             stored = await trio.to_thread.run_sync(self.storage.load, failed)
             self.start(stored)
+            if failed:
+                # The messages in the inbox may be as old as the failure.
+                consensus.handle_resume(self.replica, trio.current_time())
             await self.apply_effects()
             await self.publish(changes=[], configuration_changed=True)
             while True:
                 with trio.move_on_after(self.wait_seconds()):
                     event = await inbox.receive()
-                    await self.handle(event)
+                    self.handle(event)
                 self.tick(trio.current_time())
                 await self.apply_effects()
         finally:
@@ -135,7 +156,7 @@
         if members is not None:
             record("replica_replaced", members=list(members))
 
-    async def handle(self, event):
+    def handle(self, event):
         """Handle a message of another replica or an event of the owner."""
         now = trio.current_time()
         if isinstance(event, Resumed):
@@ -144,36 +165,51 @@
         if isinstance(event, Received):
             consensus.handle(self.replica, event.sender, event.message, now)
         elif isinstance(event, Query):
-            await self.handle_query(event, now)
+            self.pending[event.reply] = event.message
+            self.handle_query(event, now)
         elif isinstance(event, Learners):
             self.learners = self.replica.learners = set(event.names)
         elif isinstance(event, Stop):
             consensus.transfer_leadership(self.replica, now)
 
-    async def handle_query(self, query, now):
+    def answer(self, reply, result):
+        """Answer a query, unless its caller has gone."""
+        self.pending.pop(reply, None)
+        with contain("answer"):
+            reply.send_nowait(result)
+
+    def handle_query(self, query, now):
         """Handle a read, a change or a change of members."""
         message = query.message
         if isinstance(message, ReadRequest):
-            await self.read(query, now)
-            return
-        if not consensus.can_propose(self.replica, now):
-            await query.reply.send(self.build_redirect(message.change_id))
-            return
-        if isinstance(message, ChangeMembers):
-            await query.reply.send(self.change_members(message, now))
+            self.read(query, now)
+        elif not consensus.can_propose(self.replica, now):
+            self.answer(query.reply, self.build_redirect(message.change_id))
+        elif isinstance(message, ChangeMembers):
+            self.answer(query.reply, self.change_members(message, now))
+        else:
+            self.propose(query, now)
+
+    def propose(self, query, now):
+        """Propose a change; its result is answered once it is committed."""
+        change = query.message
+        error = find_error(change)
+        if error:
+            # Each leader that wrote it to its log would fail in turn.
+            reason = f"the change can't be stored: {error}"
+            refusal = ChangeResult(change.change_id, Outcome.UNAVAILABLE, 0, "", reason)
+            self.answer(query.reply, refusal)
             return
-        result = consensus.propose(self.replica, message, now)
+        result = consensus.propose(self.replica, change, now)
         if result is not None:
-            await query.reply.send(result)
-        else:
-            self.pending_replies.setdefault(message.change_id, []).append(query.reply)
+            self.answer(query.reply, result)
 
-    async def read(self, query, now):
+    def read(self, query, now):
         """Start a linearizable read; without leadership refer to the leader."""
         if self.replica.role is Role.LEADER:
             consensus.request_read(self.replica, query.reply, now)
         else:
-            query.reply.send_nowait(ReadResult(leader=self.replica.leader))
+            self.answer(query.reply, ReadResult(leader=self.replica.leader))
 
     def build_redirect(self, change_id):
         """Return the answer to a change that this replica can't propose."""
@@ -200,10 +236,13 @@
         for name, message in effects.sends:
             self.send(name, message)
         for result in effects.results:
-            for reply in self.pending_replies.pop(result.change_id, ()):
-                reply.send_nowait(result)
+            for reply in self.find_replies(result.change_id):
+                self.answer(reply, result)
         for reply in effects.confirmed_reads:
-            reply.send_nowait(ReadResult(True, self.replica.state_machine.configuration))
+            self.answer(reply, ReadResult(True, self.replica.state_machine.configuration))
+        if self.replica.role is not Role.LEADER:
+            # Another leader may commit the changes; the callers ask it.
+            self.refuse_pending("this replica no longer leads", self.replica.leader)
         await self.publish(effects.accepted, effects.configuration_changed)
 
     async def publish(self, changes, configuration_changed):
@@ -223,26 +262,50 @@
         if configuration_changed:
             await self.owner_inbox.send(Committed(configuration, changes))
 
-    async def refuse_until_retry(self, error, inbox):
-        """Refuse queries until the retry: what could not be written must not be confirmed."""
-        retry_ms = round(DISK_RETRY_DELAY_SECONDS * 1000)
-        record("replica_stopped", reason=str(error), retry_ms=retry_ms)
-        self.pending_replies.clear()
+    def find_replies(self, change_id):
+        """Return the replies of the queries that wait for the result of a change."""
+        return [
+            reply
+            for reply, message in self.pending.items()
+            if getattr(message, "change_id", None) == change_id
+        ]
+
+    def refuse_pending(self, reason, leader=""):
+        """Refuse all queries without an answer."""
+        for reply, message in list(self.pending.items()):
+            self.answer(reply, self.build_refusal(message, reason, leader))
+
+    async def refuse_until_retry(self, reason, inbox):
+        """
+        Refuse queries until the retry: what could not be written must not be confirmed.
+
+        Queries are referred to the leader that sends messages in the meantime.
+        """
+        retry_ms = round(RETRY_DELAY_SECONDS * 1000)
+        record("replica_stopped", reason=reason, retry_ms=retry_ms)
+        self.refuse_pending(reason)
+        if self.replica is not None:
+            is_other = self.replica.leader != self.settings.name
+            self.leader = self.replica.leader if is_other else ""
         self.view = ReplicaView(role=Role.STOPPED.value)
         await self.owner_inbox.send(self.view)
-        with trio.move_on_after(DISK_RETRY_DELAY_SECONDS):
+        with trio.move_on_after(RETRY_DELAY_SECONDS):
             async for event in inbox:
                 if isinstance(event, Query):
-                    event.reply.send_nowait(self.build_refusal(event.message, error))
+                    self.pending[event.reply] = event.message
+                    self.refuse_pending(reason, self.leader)
                 elif isinstance(event, Learners):
                     self.learners = set(event.names)
+                elif isinstance(event, Received) and isinstance(event.message, LEADER_MESSAGES):
+                    self.leader = event.sender
 
     @staticmethod
-    def build_refusal(message, error):
-        """Return the answer of a replica whose disk failed."""
+    def build_refusal(message, reason, leader):
+        """Return the refusal of a query; it refers to the leader, if there is one."""
         if isinstance(message, ReadRequest):
-            return ReadResult()
-        reason = f"the disk of this replica failed: {error}"
+            return ReadResult(leader=leader)
+        if leader:
+            return ChangeResult(message.change_id, Outcome.REDIRECT, 0, leader)
         return ChangeResult(message.change_id, Outcome.UNAVAILABLE, 0, "", reason)
 
 
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -233,7 +233,7 @@
     Event(
         "replica_stopped",
         ERROR,
-        "The disk of this replica failed; it is read again after `retry_ms`.",
+        "This replica failed, mostly by its disk; it reads its files again after `retry_ms`.",
         {"reason": str, "retry_ms": int},
     ),
     Event(
