Refuse queries of a replica whose disk hangs, and empty its inbox

When the disk takes longer than 0.4 s, the replica is treated as after a failure until the disk answers: queries are referred to the leader, messages are dropped as a network may drop them, and the view of the owner says `stopped`.

The tests failed before: the query was not answered in 5 s, and 1000 messages and a Stop were not taken within 5 s ("TooSlowError").

--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -1,5 +1,6 @@
 """The task that runs a replica of the log with its files."""
 
+import contextlib
 import random
 
 import trio
@@ -36,6 +37,8 @@
 MAX_TICK_INTERVAL_SECONDS = 0.1
 # A replica that failed loads its files again after this time.
 RETRY_DELAY_SECONDS = 0.5
+# While the disk takes longer than this, queries are refused as after a failure.
+STALL_SECONDS = 0.4
 # Messages that only the leader of a term sends.
 LEADER_MESSAGES = (Append, Install)
 
@@ -75,45 +78,76 @@
         self.learners = set()
         # The leader to which queries are referred while the replica is stopped.
         self.leader = ""
+        # Whether the process resumed after a pause while the replica was stopped.
+        self.is_resumed = False
+        self.inbox = None
         self.view = None
 
     async def run(self, inbox):
         """Run the replica until its inbox is closed; after an error start it again."""
+        self.inbox = inbox
         failed = False
-        while True:
-            try:
-                await self.run_until_failure(inbox, failed)
-            except trio.EndOfChannel:
-                return
-            except StorageError as error:
-                reason = str(error)
-            except Exception as error:
-                report_failure("replica", error)
-                reason = repr(error)
-            failed = True
-            await self.refuse_until_retry(reason, inbox)
-
-    async def run_until_failure(self, inbox, failed):
-        """Load the replica from its files and run it until there is an error."""
+        with contextlib.suppress(trio.EndOfChannel):
+            while True:
+                reason = await self.run_until_failure(failed)
+                failed = True
+                await self.refuse_until_retry(reason)
+
+    async def run_until_failure(self, failed):
+        """Load the replica from its files and run it until an error; return its reason."""
         self.replica = None
         self.storage = Storage(self.folder)
         try:
-            stored = await trio.to_thread.run_sync(self.storage.load, failed)
-            self.start(stored)
-            if failed:
-                # The messages in the inbox may be as old as the failure.
-                consensus.handle_resume(self.replica, trio.current_time())
-            await self.apply_effects()
-            await self.publish(changes=[], configuration_changed=True)
-            while True:
-                with trio.move_on_after(self.wait_seconds()):
-                    event = await inbox.receive()
-                    self.handle(event)
-                self.tick(trio.current_time())
-                await self.apply_effects()
+            await self.run_from_files(failed)
+        except StorageError as error:
+            return str(error)
+        except trio.EndOfChannel:
+            raise
+        except Exception as error:
+            report_failure("replica", error)
+            return repr(error)
         finally:
             self.storage.close()
 
+    async def run_from_files(self, failed):
+        """Load the replica from its files and run it."""
+        stored = await self.use_disk(self.storage.load, failed)
+        self.start(stored)
+        if failed:
+            # The messages in the inbox may be as old as the failure.
+            consensus.handle_resume(self.replica, trio.current_time())
+        await self.apply_effects()
+        await self.publish(changes=[], configuration_changed=True)
+        while True:
+            with trio.move_on_after(self.wait_seconds()):
+                event = await self.inbox.receive()
+                self.handle(event)
+            self.tick(trio.current_time())
+            await self.apply_effects()
+
+    async def use_disk(self, function, *args):
+        """Call a method of the storage in a thread; refuse queries while it takes long."""
+        result = error = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.refuse_while_stalled)
+            try:
+                result = await trio.to_thread.run_sync(function, *args)
+            except Exception as caught:
+                # Raised below: the nursery would wrap it in a group.
+                error = caught
+            nursery.cancel_scope.cancel()
+        if error is not None:
+            raise error
+        if self.is_resumed and self.replica is not None:
+            self.is_resumed = False
+            consensus.handle_resume(self.replica, trio.current_time())
+        return result
+
+    async def refuse_while_stalled(self):
+        """Refuse queries once the disk has taken too long, until cancelled."""
+        await trio.sleep(STALL_SECONDS)
+        await self.refuse_queries("the disk of this replica does not answer")
+
     def start(self, stored):
         """Create the replica from the stored state."""
         if stored.damage:
@@ -168,10 +202,16 @@
             self.pending[event.reply] = event.message
             self.handle_query(event, now)
         elif isinstance(event, Learners):
-            self.learners = self.replica.learners = set(event.names)
+            self.set_learners(event.names)
         elif isinstance(event, Stop):
             consensus.transfer_leadership(self.replica, now)
 
+    def set_learners(self, names):
+        """Set the processes that receive the log without being members."""
+        self.learners = set(names)
+        if self.replica is not None:
+            self.replica.learners = self.learners
+
     def answer(self, reply, result):
         """Answer a query, unless its caller has gone."""
         self.pending.pop(reply, None)
@@ -232,7 +272,7 @@
         """Apply the replica's effects: write and sync, then send, then answer and publish."""
         effects = self.replica.take_effects()
         if effects.needs_sync():
-            await trio.to_thread.run_sync(self.storage.write, effects)
+            await self.use_disk(self.storage.write, effects)
         for name, message in effects.sends:
             self.send(name, message)
         for result in effects.results:
@@ -275,29 +315,36 @@
         for reply, message in list(self.pending.items()):
             self.answer(reply, self.build_refusal(message, reason, leader))
 
-    async def refuse_until_retry(self, reason, inbox):
+    async def refuse_until_retry(self, reason):
+        """Refuse queries until the retry: what could not be written must not be confirmed."""
+        retry_ms = round(RETRY_DELAY_SECONDS * 1000)
+        record("replica_stopped", reason=reason, retry_ms=retry_ms)
+        with trio.move_on_after(RETRY_DELAY_SECONDS):
+            await self.refuse_queries(reason)
+
+    async def refuse_queries(self, reason):
         """
-        Refuse queries until the retry: what could not be written must not be confirmed.
+        Refuse queries and drop the messages of other replicas, until cancelled.
 
         Queries are referred to the leader that sends messages in the meantime.
         """
-        retry_ms = round(RETRY_DELAY_SECONDS * 1000)
-        record("replica_stopped", reason=reason, retry_ms=retry_ms)
-        self.refuse_pending(reason)
         if self.replica is not None:
             is_other = self.replica.leader != self.settings.name
             self.leader = self.replica.leader if is_other else ""
+        self.refuse_pending(reason, self.leader)
         self.view = ReplicaView(role=Role.STOPPED.value)
         await self.owner_inbox.send(self.view)
-        with trio.move_on_after(RETRY_DELAY_SECONDS):
-            async for event in inbox:
-                if isinstance(event, Query):
-                    self.pending[event.reply] = event.message
-                    self.refuse_pending(reason, self.leader)
-                elif isinstance(event, Learners):
-                    self.learners = set(event.names)
-                elif isinstance(event, Received) and isinstance(event.message, LEADER_MESSAGES):
-                    self.leader = event.sender
+        while True:
+            event = await self.inbox.receive()
+            if isinstance(event, Query):
+                self.pending[event.reply] = event.message
+                self.refuse_pending(reason, self.leader)
+            elif isinstance(event, Learners):
+                self.set_learners(event.names)
+            elif isinstance(event, Resumed):
+                self.is_resumed = True
+            elif isinstance(event, Received) and isinstance(event.message, LEADER_MESSAGES):
+                self.leader = event.sender
 
     @staticmethod
     def build_refusal(message, reason, leader):
--- a/lycheevalve/tests/test_replica_task.py
+++ b/lycheevalve/tests/test_replica_task.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import random
+import threading
 
 import pytest
 import trio
@@ -15,7 +16,7 @@
 from lycheevalve.coordination.log import EntryKind
 from lycheevalve.coordination.replica import Role
 from lycheevalve.daemon.control import ReplicaSettings
-from lycheevalve.daemon.events import Committed, Query, Received, ReplicaView
+from lycheevalve.daemon.events import Committed, Query, Received, ReplicaView, Stop
 from lycheevalve.daemon.replica_task import ReplicaTask
 from lycheevalve.schema.generated.messages import (
     Append,
@@ -132,11 +133,11 @@
     return function(*args)
 
 
-def run(folder, scenario, others=()):
+def run(folder, scenario, others=(), in_thread=False):
     """
     Run `scenario(harness)` while the replica's task runs.
 
-    The mock clock advances while a thread runs, so no thread is used.
+    The mock clock advances while a thread runs, so files are used in one only on request.
     """
 
     async def main():
@@ -147,7 +148,8 @@
             nursery.cancel_scope.cancel()
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(trio.to_thread, "run_sync", run_inline)
+        if not in_thread:
+            patch.setattr(trio.to_thread, "run_sync", run_inline)
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.05))
 
 
@@ -270,6 +272,57 @@
         run(tmp_path, scenario, others=[LEADER, "10.0.0.3:7000"])
 
 
+class TestHangingDisk:
+    """A disk that answers nothing for some time."""
+
+    def run(self, folder, monkeypatch, scenario):
+        """Run `scenario(harness, hang)` with a disk whose writes wait for the event `hang`."""
+        hang = threading.Event()
+        write = storage.Storage.write
+
+        def write_slowly(self, effects):
+            hang.wait()
+            write(self, effects)
+
+        async def hang_and_run(harness):
+            await harness.lead(0, *build_entries(1, 1))
+            monkeypatch.setattr(storage.Storage, "write", write_slowly)
+            await harness.lead(1, *build_entries(2, 2))
+            try:
+                await scenario(harness, hang)
+            finally:
+                hang.set()
+
+        run(folder, hang_and_run, others=[LEADER, "10.0.0.3:7000"], in_thread=True)
+
+    def test_refers_to_the_leader_while_the_disk_hangs(self, tmp_path, monkeypatch):
+        """Callers waited for the disk until their timeout, though the leader answered."""
+
+        async def scenario(harness, hang):
+            result = await harness.query(build_document(6))
+            assert result is not None
+            assert (result.outcome, result.winner) == (Outcome.REDIRECT, LEADER)
+            views = harness.events(ReplicaView)
+            assert (views[-1].role, views[-1].current) == (Role.STOPPED.value, False)
+            hang.set()
+            while not harness.events(ReplicaView):
+                await harness.lead(2, *build_entries(3, 3))
+            assert harness.task.replica.commit >= 2
+
+        self.run(tmp_path, monkeypatch, scenario)
+
+    def test_messages_do_not_wait_for_the_disk(self, tmp_path, monkeypatch):
+        """The inbox filled up, and a stop of the process waited for the disk."""
+
+        async def scenario(harness, hang):
+            with trio.fail_after(5):
+                for _ in range(1000):
+                    await harness.inbox.send(Received(LEADER, Append(1, 2, 1, [], 2, 3)))
+                await harness.inbox.send(Stop())
+
+        self.run(tmp_path, monkeypatch, scenario)
+
+
 class TestLostLeadership:
     """A leader that steps down while queries wait for the other replicas."""
 
