Return to the target number of members when a replaced member comes back

The test failed with "assert 4 == 3". The member with the fewest entries is now removed; a set of two is left as it is.

--- a/lycheevalve/coordination/replacement.py
+++ b/lycheevalve/coordination/replacement.py
@@ -4,7 +4,8 @@
 The leader maintains a fixed number of members. It replaces an unresponsive member
 with a spare: a learner that holds the log and answers. The spare is added before
 the unresponsive member is removed, one change at a time, so that each step needs a
-majority that holds every committed entry. A replaced member that returns is a spare.
+majority that holds every committed entry. A replaced member that returns is a spare;
+if it returns before it is removed, the member with the fewest entries is.
 """
 
 from lycheevalve.coordination.consensus import can_propose, propose_members
@@ -46,11 +47,27 @@
     return min(ready, default="")
 
 
+def find_surplus(replica, target_member_count, unresponsive):
+    """Return the member to remove, or ''."""
+    if len(replica.members) <= target_member_count:
+        return ""
+    if unresponsive:
+        return unresponsive[0]
+    # A member more than the target tolerates no further loss, and two halves that are cut
+    # off from each other have no majority. Two members stay, as one tolerates nothing.
+    is_one_more = len(replica.members) == target_member_count + 1 > 2
+    others = [name for name in replica.others() if name in replica.progress]
+    if not is_one_more or len(others) != target_member_count:
+        return ""
+    return min(others, key=lambda name: (replica.progress[name].match, name))
+
+
 def plan_members(replica, target_member_count, now):
     """Return the next set of members, or None if no change is needed or possible."""
     unresponsive = find_unresponsive(replica, now)
-    if len(replica.members) > target_member_count and unresponsive:
-        return [name for name in replica.members if name != unresponsive[0]]
+    surplus = find_surplus(replica, target_member_count, unresponsive)
+    if surplus:
+        return [name for name in replica.members if name != surplus]
     spare = find_spare(replica, now)
     if spare and (unresponsive or len(replica.members) < target_member_count):
         return sorted([*replica.members, spare])
--- a/lycheevalve/tests/test_leadership.py
+++ b/lycheevalve/tests/test_leadership.py
@@ -77,6 +77,20 @@
         replicas.run_until(lambda: False, 100)
         assert replicas.running[replicas.leaders()[0]].members == FOUNDING_MEMBERS
 
+    def test_member_that_returns_during_its_replacement_leaves_no_surplus(self):
+        """Four members stayed, and two halves that are cut off had no majority each."""
+        replicas = start_cluster()
+        failed = next(name for name in FOUNDING_MEMBERS if name not in replicas.leaders())
+        replicas.crash(failed)
+        (leader,) = replicas.leaders()
+        assert replicas.run_until(lambda: len(replicas.running[leader].members) == 4)
+        replicas.restart(failed)
+        # The leader has an answer of the member before it removes it.
+        replicas.running[leader].progress[failed].acked_at = replicas.now
+        replicas.run_until(lambda: False, 200)
+        commit_document(replicas, 5)
+        assert len(replicas.running[replicas.leaders()[0]].members) == 3
+
     def test_replaced_member_that_returns_is_a_spare(self):
         replicas = start_cluster()
         failed = next(name for name in FOUNDING_MEMBERS if name not in replicas.leaders())
