Test the replicas on disks that are full one after another

The simulated disks store a part of a write and fail, and the replica starts again from its files once there is space.

--- a/lycheevalve/tests/fakes/faults.py
+++ b/lycheevalve/tests/fakes/faults.py
@@ -7,7 +7,11 @@
 
 
 class ReplicaFaults(RuleBasedStateMachine):
-    """Crashes, lost disks, partitions and pauses; subclasses set `replicas` at their start."""
+    """
+    Crashes, full and lost disks, partitions and pauses.
+
+    Subclasses set `replicas` at their start.
+    """
 
     def __init__(self):
         super().__init__()
@@ -54,6 +58,12 @@
             self.replicas.lose_disk(name)
             self.replicas.restart(name)
 
+    @precondition(is_started)
+    @rule(number=st.integers(0, 4))
+    def fill_disk_or_free_space(self, number):
+        disk = self.replicas.disks[self.pick(number)]
+        disk.full = not disk.full
+
     @precondition(is_started)
     @rule(number=st.integers(0, 4), size=st.integers(1, 2))
     def partition(self, number, size):
--- a/lycheevalve/tests/fakes/replicas.py
+++ b/lycheevalve/tests/fakes/replicas.py
@@ -6,13 +6,15 @@
 
 from lycheevalve.coordination import consensus
 from lycheevalve.coordination.replacement import replace_lost_member
-from lycheevalve.coordination.replica import Role
+from lycheevalve.coordination.replica import Effects, Role
 from lycheevalve.coordination.storage import Stored
 from lycheevalve.schema.generated.messages import Change
 from lycheevalve.schema.generated.settings import FrontDoor, Service
 from lycheevalve.tests.fakes.network import Network
 
 STEP_SECONDS = 0.05
+# As in daemon/replica_task.py.
+DISK_RETRY_DELAY_SECONDS = 0.5
 
 
 def build_service(name, port=7001):
@@ -32,10 +34,25 @@
 
 
 class Disk:
-    """An in-memory replacement for Storage that holds the synced state."""
+    """
+    An in-memory replacement for Storage that holds the synced state.
+
+    A disk that is `full` stores a part of the records of a write and fails.
+    """
 
     def __init__(self):
         self.stored = Stored()
+        self.full = False
+
+    def write_part(self, effects, random):
+        """Store the snapshot, or the first of the records that replace the tail of the log."""
+        snapshot = effects.snapshot if random.random() < 0.5 else None
+        if effects.snapshot is not None:
+            self.write(Effects(snapshot=snapshot))
+            return
+        entries = effects.entries[: random.randint(0, len(effects.entries))]
+        if entries or random.random() < 0.5:
+            self.write(Effects(truncate_from=effects.truncate_from, entries=entries))
 
     def write(self, effects):
         """Store a copy of the stored part of `effects`."""
@@ -69,6 +86,8 @@
         self.disks = {name: Disk() for name in self.names}
         self.running = {}
         self.paused = set()
+        # Name of a replica whose disk failed -> time when it loads its files again.
+        self.retries = {}
         self.now = 100.0
         self.results = []
         self.reads = []
@@ -79,6 +98,7 @@
 
     def restart(self, name):
         """Start a replica from its disk."""
+        self.retries.pop(name, None)
         stored = copy.deepcopy(self.disks[name].stored)
         members = self.names if self.founding_members is None else self.founding_members
         self.running[name] = consensus.start_replica(
@@ -95,6 +115,7 @@
     def crash(self, name):
         """Stop a replica and keep its disk."""
         self.running.pop(name, None)
+        self.retries.pop(name, None)
         self.paused.discard(name)
 
     def lose_disk(self, name):
@@ -111,7 +132,13 @@
         """Write and send the effects of a replica; `crash` stops it between the two."""
         replica = self.running[name]
         effects = replica.take_effects()
-        self.disks[name].write(effects)
+        disk = self.disks[name]
+        if effects.needs_sync() and disk.full:
+            disk.write_part(effects, self.random)
+            self.crash(name)
+            self.retries[name] = self.now + DISK_RETRY_DELAY_SECONDS
+            return
+        disk.write(effects)
         if crash:
             self.crash(name)
             return
@@ -124,9 +151,19 @@
             for token in effects.confirmed_reads
         ]
 
+    def retry_failed(self):
+        """Restart the replicas whose disk failed and has room again."""
+        for name, at in list(self.retries.items()):
+            if self.now < at:
+                continue
+            self.retries[name] = at + DISK_RETRY_DELAY_SECONDS
+            if not self.disks[name].full:
+                self.restart(name)
+
     def step(self, seconds=STEP_SECONDS, share=1.0):
         """Advance the time, tick all replicas and deliver a share of the messages."""
         self.now += seconds
+        self.retry_failed()
         for name in list(self.running):
             if name not in self.paused:
                 consensus.tick(self.running[name], self.now)
@@ -169,6 +206,8 @@
 
     def recover_all(self):
         """End all faults and restart the stopped replicas."""
+        for disk in self.disks.values():
+            disk.full = False
         self.network.heal()
         self.network.loss = self.network.duplication = 0.0
         self.paused.clear()
