Hand over the leadership when the disk of the leader fails

The failed leader now has the most up-to-date member in contact campaign at once, and sends it nothing that is not written. The test failed before: no message followed the failure.

--- a/lycheevalve/coordination/consensus.py
+++ b/lycheevalve/coordination/consensus.py
@@ -171,18 +171,21 @@
 
 def transfer_leadership(replica, now):
     """As a stopping leader, have the most up-to-date voter campaign at once."""
-    if replica.role is not Role.LEADER:
-        return
+    if replica.role is Role.LEADER:
+        broadcast(replica, now)
+        abdicate(replica, now)
+
+
+def abdicate(replica, now):
+    """As leader, have the most up-to-date voter in contact campaign; send no entries."""
     voters = [
-        name
+        (now - progress.acked_at < LEADER_LEASE_SECONDS, progress.match, name)
         for name, progress in replica.progress.items()
         if name in replica.members and not progress.recovering
     ]
-    if not voters:
-        return
-    successor = max(voters, key=lambda name: (replica.progress[name].match, name))
-    broadcast(replica, now)
-    replica.send(successor, Abdicate(replica.hard_state.term))
+    if replica.role is Role.LEADER and voters:
+        _, _, successor = max(voters)
+        replica.send(successor, Abdicate(replica.hard_state.term))
 
 
 def propose(replica, change, now):
--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -91,6 +91,8 @@
             while True:
                 reason = await self.run_until_failure(failed)
                 failed = True
+                with contain("abdicate"):
+                    self.abdicate()
                 await self.refuse_until_retry(reason)
 
     async def run_until_failure(self, failed):
@@ -315,6 +317,15 @@
         for reply, message in list(self.pending.items()):
             self.answer(reply, self.build_refusal(message, reason, leader))
 
+    def abdicate(self):
+        """As a failed leader, have another member campaign before its election timeout."""
+        if self.replica is not None:
+            # What is not written must not be sent.
+            self.replica.take_effects()
+            consensus.abdicate(self.replica, trio.current_time())
+            for name, message in self.replica.take_effects().sends:
+                self.send(name, message)
+
     async def refuse_until_retry(self, reason):
         """Refuse queries until the retry: what could not be written must not be confirmed."""
         retry_ms = round(RETRY_DELAY_SECONDS * 1000)
--- a/lycheevalve/tests/test_replica_task.py
+++ b/lycheevalve/tests/test_replica_task.py
@@ -19,6 +19,7 @@
 from lycheevalve.daemon.events import Committed, Query, Received, ReplicaView, Stop
 from lycheevalve.daemon.replica_task import ReplicaTask
 from lycheevalve.schema.generated.messages import (
+    Abdicate,
     Append,
     Appended,
     Entry,
@@ -60,6 +61,7 @@
     def __init__(self, folder, others=()):
         self.inbox, self.receiver = trio.open_memory_channel(64)
         self.owner_inbox, self.owner_events = trio.open_memory_channel(10_000)
+        self.sent = []
         self.task = ReplicaTask(
             ReplicaSettings(ADDRESS, [ADDRESS, *others]),
             folder,
@@ -71,6 +73,7 @@
 
     def respond(self, name, message):
         """Vote for the replica, and acknowledge what holds no change."""
+        self.sent.append((name, message))
         if isinstance(message, VoteRequest):
             answer = Vote(message.term, True, message.pre)
         elif isinstance(message, Append) and not any(e.change for e in message.entries):
@@ -271,6 +274,23 @@
 
         run(tmp_path, scenario, others=[LEADER, "10.0.0.3:7000"])
 
+    def test_leader_whose_disk_fails_hands_over_at_once(self, tmp_path, monkeypatch):
+        """The others waited for their election timeout, and changes were refused meanwhile."""
+        disk = FakeDisk(monkeypatch)
+
+        async def scenario(harness):
+            while Role.LEADER.value not in [v.role for v in harness.events(ReplicaView)]:
+                await trio.sleep(0.1)
+            term = harness.task.replica.hard_state.term
+            harness.sent.clear()
+            disk.full = True
+            assert (await harness.query(build_document(6))).outcome == Outcome.UNAVAILABLE
+            handed_over = [(n, m) for n, m in harness.sent if not isinstance(m, Append)]
+            assert handed_over == [(LEADER, Abdicate(term))]
+            assert not any(m.entries for _, m in harness.sent if isinstance(m, Append))
+
+        run(tmp_path, scenario, others=[LEADER])
+
 
 class TestHangingDisk:
     """A disk that answers nothing for some time."""
