Answer each query of a replica once

A read that was refused while the disk did not answer, and confirmed by the quorum later, was answered twice: the second answer found the caller's channel full, which counted as a failed task. Cause: answer() sent whether or not the query was still pending. Change: it sends only then. Measured: test_replica_task.py and test_full_disks.py, run with the whole of the tests.

--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -215,10 +215,10 @@
             self.replica.learners = self.learners
 
     def answer(self, reply, result):
-        """Answer a query, unless its caller has gone."""
-        self.pending.pop(reply, None)
-        with contain("answer"):
-            reply.send_nowait(result)
+        """Answer a query, unless it has been answered or refused."""
+        if self.pending.pop(reply, None) is not None:
+            with contain("answer"):
+                reply.send_nowait(result)
 
     def handle_query(self, query, now):
         """Handle a read, a change or a change of members."""
