Open closed standard streams when a process starts

A process that was started with a closed standard output gave descriptor 1 to the next socket or file that it opened, and wrote its log lines there: to its event loop in the test, to a packet socket or the log on the disk in another order. With a closed standard error it ended since faulthandler is enabled, which raises RuntimeError without that stream.

Descriptors 0 to 2 that are closed are opened at /dev/null first, and faulthandler is left out without standard error.

Evidence, before: all four cases of TestStandardStreams failed, with descriptor 1 at "anon_inode:[eventpoll]" and "assert False, where False = is_running()"; now they pass.

--- a/lycheevalve/daemon/ends.py
+++ b/lycheevalve/daemon/ends.py
@@ -83,8 +83,9 @@
     """
     current_run.folder = Path(folder) if folder else None
     record("starting", pid=os.getpid(), version=__version__)
-    # A crash in native code writes its stack to standard error.
-    faulthandler.enable(sys.__stderr__)
+    if sys.__stderr__ is not None:
+        # A crash in native code writes its stack to standard error.
+        faulthandler.enable(sys.__stderr__)
     try:
         function()
     except BaseException as error:
--- a/lycheevalve/platform/__main__.py
+++ b/lycheevalve/platform/__main__.py
@@ -63,8 +63,18 @@
         pass
 
 
+def open_standard_streams():
+    """Open those of the descriptors 0 to 2 that are closed; a socket or file would get them."""
+    for descriptor in range(3):
+        try:
+            posix.fstat(descriptor)
+        except OSError:
+            posix.open("/dev/null", posix.O_RDWR)
+
+
 def main(arguments):
     """Run one process; return its exit code."""
+    open_standard_streams()
     # The default action of SIGHUP would end the process before watch_signals runs; a signal
     # that is ignored here loses nothing, as the settings are read afterwards.
     signal(SIGHUP, SIG_IGN)
--- a/lycheevalve/tests/test_start.py
+++ b/lycheevalve/tests/test_start.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -90,6 +91,36 @@
         assert {process.wait() for process in processes} == {run.EXIT_INVALID_INPUT}
 
 
+class TestStandardStreams:
+    """Processes that are started with closed standard streams."""
+
+    @pytest.mark.parametrize("closed", [(1,), (2,), (1, 2), (0, 1, 2)])
+    def test_a_closed_stream_ends_no_process(self, tmp_path, closed):
+        """
+        Log lines were written to whatever had descriptor 1, as a socket or the log on the disk.
+
+        A closed standard error ended the process.
+        """
+        replica = build_control(tmp_path)
+        replica.limits = lambda: [os.close(descriptor) for descriptor in closed]
+        replica.start()
+
+        def connect():
+            assert replica.is_running(), replica.read_output()
+            with socket.socket() as client:
+                return client.connect_ex(replica.address("operators")) == 0
+
+        try:
+            wait_for(connect)
+            folder = Path(f"/proc/{replica.process.pid}/fd")
+            names = {os.readlink(folder / str(descriptor)) for descriptor in closed}
+            assert names == {"/dev/null"}
+            replica.process.send_signal(signal.SIGTERM)
+            assert replica.process.wait(timeout=60) == 0
+        finally:
+            replica.stop()
+
+
 class TestImports:
     """Modules that can't be imported, as with an incomplete installation."""
 
