Close the listener of a server that fails

keep_serving starts a server again after an error. The listener of the failed one stayed open until its objects were collected, and its address was in use for the next.

Evidence: test_a_server_that_fails_closes_its_listener failed for links and HTTP, as the descriptor of the listener was still open ("assert ... == -1"); now it passes.

--- a/lycheevalve/daemon/http.py
+++ b/lycheevalve/daemon/http.py
@@ -67,9 +67,9 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled."""
-        listener = await open_listener(self.step, self.address)
-        task_status.started()
-        await trio.serve_listeners(self.serve, [listener])
+        async with await open_listener(self.step, self.address) as listener:
+            task_status.started()
+            await trio.serve_listeners(self.serve, [listener])
 
     async def serve(self, stream):
         """Serve one connection."""
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -200,9 +200,9 @@
         except LINK_ERRORS as error:
             record("link_failed", peer=peer, reason=str(error))
 
-    listener = await open_listener("listen for links", address)
-    task_status.started()
-    await trio.serve_listeners(serve, [listener])
+    async with await open_listener("listen for links", address) as listener:
+        task_status.started()
+        await trio.serve_listeners(serve, [listener])
 
 
 async def serve_connection(stream, codec, handle):
--- a/lycheevalve/tests/test_listeners.py
+++ b/lycheevalve/tests/test_listeners.py
@@ -10,6 +10,8 @@
 import trio.testing
 
 from lycheevalve.daemon import listeners
+from lycheevalve.daemon.http import Server
+from lycheevalve.daemon.links import serve_links
 from lycheevalve.exceptions import AddressError
 from lycheevalve.logs.queue import queue
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
@@ -120,6 +122,33 @@
         holder.close()
 
 
+class TestServers:
+    """Servers that fail and are started again."""
+
+    @pytest.mark.parametrize("kind", ["links", "http"])
+    def test_a_server_that_fails_closes_its_listener(self, monkeypatch, kind):
+        """Its address would be in use for the server that is started in its place."""
+        serving = []
+
+        async def serve_listeners(handler, opened):
+            serving.extend(opened)
+            raise RuntimeError("broken")
+
+        async def main():
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = format_address(probe.getsockname())
+            if kind == "links":
+                await serve_links(address, None, None)
+            else:
+                await Server(address, None).run()
+
+        monkeypatch.setattr(trio, "serve_listeners", serve_listeners)
+        with pytest.raises(RuntimeError, match="broken"):
+            trio.run(main)
+        assert serving[0].socket.fileno() == -1
+
+
 class TestRetries:
     """Which errors are retried, and how that is logged."""
 
