Stop lycheevalved at SIGTERM while it waits for an address

Since it waits for an address in use, an instance that waited could only be killed: its events, and with them the graceful stop, are handled once it has started. The stop of the roles' processes moves to daemon/stopping.py and is used by both programs. The record of a run is kept running as in the roles' processes.

--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -60,6 +60,7 @@
         self.metrics = StatsdMetrics(settings.statsd, settings.name)
         self.view = events.ReplicaView()
         self.inbox, self.receiver = trio.open_memory_channel(INBOX_EVENTS)
+        self.started = trio.Event()
         self.replica_inbox = None
         self.instance = None
         self.udp_socket = None
@@ -95,7 +96,8 @@
             record(
                 "started", role="instance", address=self.settings.address, version=__version__
             )
-            nursery.start_soon(record_start)
+            self.started.set()
+            nursery.start_soon(keep_running, "run record", record_start)
             task_status.started(self)
             await self.run_instance()
             nursery.cancel_scope.cancel()
--- a/lycheevalve/daemon/main.py
+++ b/lycheevalve/daemon/main.py
@@ -9,25 +9,31 @@
 
 from lycheevalve.config.files import read_key
 from lycheevalve.config.instance import changed_options, load_instance_settings
-from lycheevalve.daemon.boundaries import keep_running
+from lycheevalve.daemon.boundaries import contain, keep_running
 from lycheevalve.daemon.ends import run_to_end
-from lycheevalve.daemon.events import Reload, Stop
+from lycheevalve.daemon.events import Reload
 from lycheevalve.daemon.instance import InstanceProcess
+from lycheevalve.daemon.stopping import stop
 from lycheevalve.exceptions import LycheevalveError
 from lycheevalve.logs.queue import record, set_up_logs, writer
 
 EXIT_INVALID_INPUT = 2
 
 
-async def watch_signals(process, path):
-    """Stop gracefully on SIGTERM and SIGINT; reload the settings on SIGHUP."""
+async def watch_signals(process, path, scope):
+    """
+    Stop gracefully on SIGTERM and SIGINT; reload the settings on SIGHUP.
+
+    A process that can't start is ended by cancelling `scope`.
+    """
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*signals) as received:
         async for signal_number in received:
-            if signal_number == signal.SIGHUP:
-                await reload_settings(process, path)
-            else:
-                await process.inbox.send(Stop())
+            with contain("signal"):
+                if signal_number == signal.SIGHUP:
+                    await reload_settings(process, path)
+                else:
+                    await stop(process, scope)
 
 
 async def reload_settings(process, path):
@@ -56,7 +62,9 @@
     """Run the process and handle signals until the process has stopped."""
     process = InstanceProcess(settings, key)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(keep_running, "signals", watch_signals, process, path)
+        nursery.start_soon(
+            keep_running, "signals", watch_signals, process, path, nursery.cancel_scope
+        )
         nursery.start_soon(keep_running, "log", writer.run)
         await process.run()
         nursery.cancel_scope.cancel()
--- a/lycheevalve/platform/run.py
+++ b/lycheevalve/platform/run.py
@@ -12,7 +12,8 @@
 from lycheevalve.config.roles import ENTRY, OPTIONS, load_role_settings
 from lycheevalve.daemon.boundaries import contain, keep_running
 from lycheevalve.daemon.ends import run_to_end
-from lycheevalve.daemon.events import Reload, Stop
+from lycheevalve.daemon.events import Reload
+from lycheevalve.daemon.stopping import stop
 from lycheevalve.exceptions import LycheevalveError
 from lycheevalve.logs.queue import record, set_up_logs, writer
 
@@ -22,8 +23,6 @@
 # A process that starts reads an invalid file again until this time has passed.
 SETTINGS_TIMEOUT_SECONDS = 1.0
 SETTINGS_RETRY_INTERVAL_SECONDS = 0.05
-# A process that is still starting this long after SIGTERM waits for an address and is ended.
-START_TIMEOUT_SECONDS = 2.0
 
 
 def make_process(settings, early):
@@ -55,17 +54,6 @@
                     await stop(process, scope)
 
 
-async def stop(process, scope):
-    """Stop a process gracefully once it has started; cancel `scope` if it can't start."""
-    with trio.move_on_after(START_TIMEOUT_SECONDS):
-        await process.started.wait()
-    if process.started.is_set():
-        await process.inbox.send(Stop())
-    else:
-        record("stopped")
-        scope.cancel()
-
-
 def read_version(path):
     """Return what changes when a file is written, replaced or removed."""
     try:
@@ -107,7 +95,9 @@
     """Run the process and watch signals and the settings file until it has stopped."""
     process = make_process(settings, early)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch_signals, process, path, nursery.cancel_scope)
+        nursery.start_soon(
+            keep_running, "signals", watch_signals, process, path, nursery.cancel_scope
+        )
         nursery.start_soon(
             keep_running, "settings", watch_settings, process, path, loaded_version
         )
--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -190,6 +190,18 @@
         states = {e["name"]: e["state"] for e in read_status(site)["instances"]}
         assert states["a4"].startswith("left")
 
+    def test_an_instance_that_waits_for_its_address_stops(self, site):
+        """It handles no events until it has started, so that it could only be killed."""
+        site.kill("a4")
+        (site.folder / "a4.out").unlink()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
+            holder.bind(parse_address(site.instance_address("a4")))
+            site.start_instance("a4")
+            wait_for(lambda: "address_unavailable" in (site.folder / "a4.out").read_text())
+            assert site.processes["a4"].poll() is None
+            site.signal("a4", signal.SIGTERM)
+            assert site.processes["a4"].wait(WAIT_TIMEOUT_SECONDS) == 0
+
     def test_end_of_a_replica_is_recorded(self, site):
         """Guards against ends that nothing shows once the logs are gone."""
         site.signal("a3", signal.SIGTERM)
