Count the time to replace a lost leader from its last message

A lost leader was replaced 4 s after the election of its successor, a lost follower 4 s after its last answer.

The member that followed the lost leader keeps the time of its last message when it is elected itself, unless the former leader has voted for it.

--- a/lycheevalve/coordination/elections.py
+++ b/lycheevalve/coordination/elections.py
@@ -98,9 +98,13 @@
     """Become leader and append the first entry of the new term."""
     replica.role = Role.LEADER
     replica.leader = replica.name
-    replica.leader_since = now
     next_index = replica.log.last_index() + 1
     replica.progress = {name: Progress(next_index, acked_at=now) for name in replica.others()}
+    lost = replica.last_leader
+    if lost in replica.progress and lost not in replica.votes:
+        # The time to replace it counts from its last message, not from the election.
+        replica.progress[lost].acked_at = replica.leader_contact_at
+    replica.last_leader = ""
     replica.append([build_first_entry(replica, next_index)])
     broadcast(replica, now)
     advance_commit(replica)
--- a/lycheevalve/coordination/replacement.py
+++ b/lycheevalve/coordination/replacement.py
@@ -28,8 +28,7 @@
         name
         for name in replica.others()
         if name in replica.progress
-        and now - max(replica.progress[name].acked_at, replica.leader_since)
-        > UNRESPONSIVE_SECONDS
+        and now - replica.progress[name].acked_at > UNRESPONSIVE_SECONDS
     ]
 
 
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -98,11 +98,12 @@
     applied: int = 0
     leader: str = ""
     leader_contact_at: float = float("-inf")
+    # The leader of that contact, also after its term; "" once this replica has led itself.
+    last_leader: str = ""
     # Contact before this time may be stale, see consensus.handle_resume.
     contact_valid_from: float = float("-inf")
     election_at: float = 0.0
     heartbeat_at: float = 0.0
-    leader_since: float = float("-inf")
     # Number of the leader's latest heartbeat; an answer confirms one of them.
     round: int = 0
     votes: set[str] = attrs.field(factory=set)
--- a/lycheevalve/coordination/replication.py
+++ b/lycheevalve/coordination/replication.py
@@ -62,7 +62,7 @@
         replica.step_down(message.term, now)
     if replica.role is Role.CANDIDATE:
         replica.role = Role.FOLLOWER
-    replica.leader = sender
+    replica.leader = replica.last_leader = sender
     replica.leader_contact_at = now
     replica.reset_election_timer(now)
     return True
--- a/lycheevalve/tests/test_leadership.py
+++ b/lycheevalve/tests/test_leadership.py
@@ -1,6 +1,9 @@
 """Learners, replacement of members, leadership transfer, elections and commit propagation."""
 
+import pytest
+
 from lycheevalve.coordination import consensus
+from lycheevalve.coordination.replacement import UNRESPONSIVE_SECONDS
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.replication import HEARTBEAT_INTERVAL_SECONDS
 from lycheevalve.tests.fakes.documents import (
@@ -77,6 +80,54 @@
         replicas.run_until(lambda: False, 100)
         assert replicas.running[replicas.leaders()[0]].members == FOUNDING_MEMBERS
 
+    @pytest.mark.parametrize("seed", range(10))
+    def test_lost_leader_is_replaced_as_soon_as_another_member(self, seed):
+        """It was replaced a second later, and the next loss left one member of three."""
+        replicas = start_cluster(seed=seed)
+        (leader,) = replicas.leaders()
+        replicas.crash(leader)
+        lost_at = replicas.now
+        expected = sorted(set(replicas.names) - {leader})
+        assert replicas.run_until(
+            lambda: [replicas.running[n].members for n in replicas.leaders()] == [expected]
+        )
+        assert replicas.now - lost_at <= UNRESPONSIVE_SECONDS + 0.5
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_former_leader_that_votes_is_kept(self, seed):
+        replicas = start_cluster(seed=seed)
+        for _ in range(3):
+            (leader,) = replicas.leaders()
+            replicas.crash(leader)
+            replicas.run_until(replicas.leaders)
+            replicas.run_until(lambda: False, 10)
+            replicas.restart(leader)
+            assert replicas.run_until(lambda: is_settled(replicas))
+            replicas.run_until(lambda: False, 100)
+        assert replicas.running[replicas.leaders()[0]].members == FOUNDING_MEMBERS
+
+    def test_earlier_leader_is_kept_when_its_successor_is_elected_again(self):
+        """Its contact as leader is long ago, but it answered its successor."""
+        replicas = start_cluster()
+        (first,) = replicas.leaders()
+        replicas.crash(first)
+        replicas.run_until(replicas.leaders)
+        replicas.restart(first)
+        (second,) = replicas.leaders()
+        replicas.run_until(lambda: False, 200)
+        replica = replicas.running[second]
+        replicas.network.cut([second], [first])
+        replica.step_down(replica.hard_state.term, replicas.now)
+        for name in replicas.names:
+            replicas.running[name].election_at = replicas.now + (1.0 if name == second else 60)
+        assert replicas.run_until(lambda: replicas.leaders() == [second])
+        replicas.run_until(lambda: False, 20)
+        replicas.network.heal()
+        for _ in range(100):
+            replicas.step()
+            members = [replicas.running[name].members for name in replicas.leaders()]
+            assert all(names == FOUNDING_MEMBERS for names in members)
+
     def test_member_that_returns_during_its_replacement_leaves_no_surplus(self):
         """Four members stayed, and two halves that are cut off had no majority each."""
         replicas = start_cluster()
