--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 import signal
-import socket
+import sys
 
 import pytest
 from hypothesis import given
@@ -25,9 +25,26 @@
 from lycheevalve.logs.queue import LogQueue, Output, Writer
 from lycheevalve.logs.schema import validate_event
 from lycheevalve.logs.timeline import parse_logs
-from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
+from lycheevalve.tests.fakes.role_processes import (
+    WAIT_TIMEOUT_SECONDS,
+    build_control,
+    build_entry,
+    wait_for,
+)
 from lycheevalve.utils.addresses import format_address
 
+# A program whose process fails while it starts, with an error that nothing explains.
+FAILING_START = """
+import sys
+from lycheevalve.platform import run
+
+async def fail(*_):
+    raise ValueError("no start")
+
+run.run_process = fail
+sys.exit(run.run(sys.argv[1]))
+"""
+
 
 def read_metric(process, name):
     """Return the samples of a process's metric as {label values: value}."""
@@ -170,6 +187,14 @@
         assert ends.run_to_end(lambda: raise_error(ValueError("x")), str(missing)) == 1
         assert [name for name, _ in records] == ["starting", "run_not_recorded", "ended"]
 
+    def test_log_is_written_before_the_record(self, records, monkeypatch, tmp_path):
+        """Guards against a stop without its last lines when the disk does not answer."""
+        steps = []
+        monkeypatch.setattr(ends, "write_log", lambda: steps.append("log"))
+        monkeypatch.setattr(ends.Run, "record_state", lambda *_: steps.append("record"))
+        ends.run_to_end(lambda: None, str(tmp_path))
+        assert steps == ["log", "record", "log"]
+
     def test_end_whose_log_cannot_be_written(self, records, monkeypatch, capsys):
         """Guards against an end without any line when descriptors or memory are exhausted."""
         monkeypatch.setattr(ends, "writer", None)
@@ -194,7 +219,8 @@
             counts = read_metric(replica, "previous_ends_total")
         finally:
             replica.stop()
-        assert counts == {("stopped",): 1, ("lost",): 2}
+        others = {("settings",): 0, ("error",): 0, ("unknown",): 0}
+        assert counts == {("stopped",): 1, ("lost",): 2, **others}
         reasons = [event["reason"] for event in replica.read_events("previous_end")]
         assert reasons == ["stopped", "lost", "lost"]
 
@@ -202,12 +228,12 @@
         """Guards against a traceback that is attributed to the run before it in the log."""
         replica = build_control(tmp_path).start().wait_until_started()
         replica.stop()
-        with socket.create_server(replica.address("operators")):
-            assert replica.start().process.wait() != 0
+        replica.command = (sys.executable, "-c", FAILING_START)
+        assert replica.start().process.wait(WAIT_TIMEOUT_SECONDS) == 1
         logs = parse_logs({"control-1.jsonl": replica.read_output().splitlines()})
         lost, ended = build_report("control-1", logs).findings
         assert "ended without a last line: killed" in lost
-        assert "ended with code" in ended and "in use" in ended
+        assert "ended with code 1: ValueError: no start" in ended
         assert "step start" in ended
 
     def test_control_replica_reports_instances_that_restart(self, tmp_path):
@@ -222,7 +248,8 @@
             entry.start().wait_until_started()
             [restart] = wait_for(lambda: replica.read_events("instance_restarted"))
             assert read_metric(entry, "start_time_seconds")[()] > started_at
-            assert read_metric(replica, "instance_restarts_total") == {("entry",): 1}
+            restarts = read_metric(replica, "instance_restarts_total")
+            assert restarts == {("entry",): 1, ("control",): 0}
             entry.process.send_signal(signal.SIGTERM)
             assert entry.process.wait() == 0
         finally:
