Found a site only once in a process, and stop without waiting for the disk

- A founding process whose files were lost while it ran, after it had stored its first state, became a voter with an empty log again, and led the test's cluster: "assert <Role.LEADER> is <Role.RECOVERING>".
Once its first state is stored, missing files are treated as a lost disk.
- The stop of a process waited for the thread of a hanging disk ("TooSlowError").
The thread is now cut off, which leaves the files as a crash does.

--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -119,6 +119,9 @@
             # The messages in the inbox may be as old as the failure.
             consensus.handle_resume(self.replica, trio.current_time())
         await self.apply_effects()
+        if self.founding is not None:
+            # Files that are missing later were lost.
+            self.founding = False
         await self.publish(changes=[], configuration_changed=True)
         while True:
             with trio.move_on_after(self.wait_seconds()):
@@ -133,7 +136,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.refuse_while_stalled)
             try:
-                result = await trio.to_thread.run_sync(function, *args)
+                # A stop of the process does not wait for the disk: a thread that is cut off
+                # leaves the files as a crash does.
+                result = await trio.to_thread.run_sync(function, *args, abandon_on_cancel=True)
             except Exception as caught:
                 # Raised below: the nursery would wrap it in a group.
                 error = caught
@@ -148,7 +153,9 @@
     async def refuse_while_stalled(self):
         """Refuse queries once the disk has taken too long, until cancelled."""
         await trio.sleep(STALL_SECONDS)
-        await self.refuse_queries("the disk of this replica does not answer")
+        # An error here must not cut off the thread that uses the disk.
+        with contain("replica"):
+            await self.refuse_queries("the disk of this replica does not answer")
 
     def start(self, stored):
         """Create the replica from the stored state."""
--- a/lycheevalve/tests/test_replica_task.py
+++ b/lycheevalve/tests/test_replica_task.py
@@ -62,6 +62,8 @@
         self.inbox, self.receiver = trio.open_memory_channel(64)
         self.owner_inbox, self.owner_events = trio.open_memory_channel(10_000)
         self.sent = []
+        self.scope = trio.CancelScope()
+        self.stopped = trio.Event()
         self.task = ReplicaTask(
             ReplicaSettings(ADDRESS, [ADDRESS, *others]),
             folder,
@@ -71,6 +73,12 @@
             founding=True,
         )
 
+    async def run_task(self):
+        """Run the task until `scope` is cancelled."""
+        with self.scope:
+            await self.task.run(self.receiver)
+        self.stopped.set()
+
     def respond(self, name, message):
         """Vote for the replica, and acknowledge what holds no change."""
         self.sent.append((name, message))
@@ -130,7 +138,7 @@
     return [Entry(index, 1, EntryKind.NOOP) for index in range(first, last + 1)]
 
 
-async def run_inline(function, *args):
+async def run_inline(function, *args, **_):
     """Call a function as trio.to_thread.run_sync does, but without a thread."""
     await trio.lowlevel.checkpoint()
     return function(*args)
@@ -146,7 +154,7 @@
     async def main():
         harness = ReplicaTaskHarness(folder, others)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(harness.task.run, harness.receiver)
+            nursery.start_soon(harness.run_task)
             await scenario(harness)
             nursery.cancel_scope.cancel()
 
@@ -291,6 +299,22 @@
 
         run(tmp_path, scenario, others=[LEADER])
 
+    def test_files_that_were_lost_do_not_found_the_site_again(self, tmp_path, monkeypatch):
+        """The replica became a voter with an empty log, having forgotten its votes."""
+        disk = FakeDisk(monkeypatch)
+
+        async def scenario(harness):
+            await harness.lead(0, *build_entries(1, 1))
+            disk.full = True
+            await harness.lead(1, *build_entries(2, 2))
+            for path in tmp_path.iterdir():
+                path.unlink()
+            disk.full = False
+            await trio.sleep(1)
+            assert harness.task.replica.role is Role.RECOVERING
+
+        run(tmp_path, scenario, others=[LEADER, "10.0.0.3:7000"])
+
 
 class TestHangingDisk:
     """A disk that answers nothing for some time."""
@@ -342,6 +366,16 @@
 
         self.run(tmp_path, monkeypatch, scenario)
 
+    def test_stop_does_not_wait_for_the_disk(self, tmp_path, monkeypatch):
+        """The process did not end until the disk answered."""
+
+        async def scenario(harness, hang):
+            harness.scope.cancel()
+            with trio.fail_after(5):
+                await harness.stopped.wait()
+
+        self.run(tmp_path, monkeypatch, scenario)
+
 
 class TestLostLeadership:
     """A leader that steps down while queries wait for the other replicas."""
