--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -53,6 +53,7 @@
             self.lose_disk,
             self.crash_upstream,
             self.stop_while_starting,
+            self.restart_together,
         )
 
     # Upstreams.
@@ -226,14 +227,19 @@
             names = list(self.site.machines)
         await self.kill_together(names)
 
-    async def kill_together(self, names):
-        """Kill processes at once and start them again, unless one of them is busy."""
+    async def restart_together(self):
+        """Stop several processes gracefully at once and start them again."""
+        names = self.random.sample(sorted(self.site.machines), self.random.randint(2, 4))
+        await self.kill_together(names, signal.SIGTERM)
+
+    async def kill_together(self, names, number=signal.SIGKILL):
+        """End processes with a signal at once and start them, unless one of them is busy."""
         if any(name in self.busy for name in names):
             return
         self.busy.update(names)
-        self.log(f"kill {', '.join(names)}")
+        self.log(f"send {number.name} to {', '.join(names)}")
         for name in names:
-            self.site.send_signal(name, signal.SIGKILL)
+            self.site.send_signal(name, number)
         for name in names:
             await self.site.wait_for_exit(name)
             self.site.start_process(name)
