--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -8,7 +8,7 @@
 
 from lycheevalve import __version__
 from lycheevalve.config.roles import link_address, link_addresses
-from lycheevalve.daemon.boundaries import contain, keep_serving, report_failure
+from lycheevalve.daemon.boundaries import contain, keep_running, keep_serving, report_failure
 from lycheevalve.daemon.ends import record_start
 from lycheevalve.daemon.events import Received, Reload, Stop
 from lycheevalve.daemon.exposition import make_server
@@ -39,6 +39,7 @@
         self.make_codec = make_codec_factory(
             settings.key.encode(), self.address, self.incarnation
         )
+        self.started = trio.Event()
         self.connections = None
         self.logic = None
         self.last_iteration_at = 0.0
@@ -59,12 +60,14 @@
             self.logic.subscriptions.set_seeds(link_addresses(self.settings), now)
             await self.start(nursery)
             if self.settings.metrics:
+                # Service doesn't depend on metrics, whose address may be unavailable.
                 server = make_server(self.settings.metrics, self.list_metrics)
-                await nursery.start(keep_serving, "metrics", server.run)
+                nursery.start_soon(keep_running, "metrics", server.run)
             record(
                 "started", role=self.settings.role, address=self.address, version=__version__
             )
-            nursery.start_soon(record_start)
+            nursery.start_soon(keep_running, "run record", record_start)
+            self.started.set()
             await self.run_events()
             nursery.cancel_scope.cancel()
         record("stopped")
--- a/lycheevalve/logs/process_ends.py
+++ b/lycheevalve/logs/process_ends.py
@@ -257,9 +257,10 @@
     instances = {find_address(run): run.instance for run in runs}
     first, counts = {}, collections.Counter()
     for line in lines:
-        if line.event == "instance_restarted" and line.fields["peer"] not in instances:
-            first.setdefault(line.fields["peer"], line.at)
-            counts[line.fields["peer"], line.instance] += 1
+        peer = line.fields.get("peer")
+        if line.event == "instance_restarted" and peer and peer not in instances:
+            first.setdefault(peer, line.at)
+            counts[peer, line.instance] += 1
     return [
         (
             at,
--- a/lycheevalve/tests/test_ends.py
+++ b/lycheevalve/tests/test_ends.py
@@ -25,7 +25,12 @@
 from lycheevalve.logs.queue import LogQueue, Output, Writer
 from lycheevalve.logs.schema import validate_event
 from lycheevalve.logs.timeline import parse_logs
-from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
+from lycheevalve.tests.fakes.role_processes import (
+    WAIT_TIMEOUT_SECONDS,
+    build_control,
+    build_entry,
+    wait_for,
+)
 from lycheevalve.utils.addresses import format_address
 
 # A program whose process fails while it starts, with an error that nothing explains.
@@ -224,7 +229,7 @@
         replica = build_control(tmp_path).start().wait_until_started()
         replica.stop()
         replica.command = (sys.executable, "-c", FAILING_START)
-        assert replica.start().process.wait() == 1
+        assert replica.start().process.wait(WAIT_TIMEOUT_SECONDS) == 1
         logs = parse_logs({"control-1.jsonl": replica.read_output().splitlines()})
         lost, ended = build_report("control-1", logs).findings
         assert "ended without a last line: killed" in lost
