--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -5,88 +5,19 @@
 milliseconds at the time of the event; flows and addresses are strings.
 """
 
-import attrs
+from lycheevalve.logs.event import (
+    DEBUG,
+    ERROR,
+    INFO,
+    MAX_BAD_INPUT_LINES_PER_SECOND,
+    WARNING,
+    Event,
+)
+from lycheevalve.logs.flow_events import FLOW_EVENTS, UPSTREAM_FIELDS
 
-DEBUG, INFO, WARNING, ERROR = 10, 20, 30, 40
 LEVELS = {"DEBUG": DEBUG, "INFO": INFO, "WARNING": WARNING, "ERROR": ERROR}
 LEVEL_NAMES = {number: name for name, number in LEVELS.items()}
 
-# Limits for each kind of event and process. A node of the target size opens 110 flows
-# per second: successes are sampled; failures are logged completely as long as at most
-# half of the flows fail.
-MAX_SUCCESS_LINES_PER_SECOND = 40
-MAX_FAILURE_LINES_PER_SECOND = 60
-MAX_CHANGE_LINES_PER_SECOND = 40
-# A few lines identify the fault; invalid input usually repeats.
-MAX_BAD_INPUT_LINES_PER_SECOND = 5
-
-
-@attrs.frozen(eq=False)
-class Event:
-    """A kind of event: its meaning, its fields as {name: type} and its rate limit."""
-
-    name: str
-    level: int
-    meaning: str
-    fields: dict
-    max_lines_per_second: int = MAX_CHANGE_LINES_PER_SECOND
-
-
-FLOW_FIELDS = {"flow": str, "request": str}
-UPSTREAM_FIELDS = {"upstream": str, "address": str}
-# State of the chosen or replaced upstream, as recorded by the entry instance.
-UPSTREAM_STATE_FIELDS = {
-    **UPSTREAM_FIELDS,
-    "report_age_ms": int,
-    "answer_age_ms": int,
-    "flows": int,
-    "unanswered": int,
-}
-
-FLOW_EVENTS = (
-    Event(
-        "placed",
-        INFO,
-        "A flow was placed on an upstream; `copy` counts repetitions of its first packet.",
-        {**FLOW_FIELDS, **UPSTREAM_STATE_FIELDS, "copy": int, "revision": int},
-        MAX_SUCCESS_LINES_PER_SECOND,
-    ),
-    Event(
-        "request",
-        INFO,
-        "The first packet of a request was forwarded to the upstream of its flow.",
-        {**FLOW_FIELDS, **UPSTREAM_STATE_FIELDS},
-        MAX_SUCCESS_LINES_PER_SECOND,
-    ),
-    Event(
-        "repeated",
-        WARNING,
-        "A caller repeated a packet that its upstream has not answered.",
-        {**FLOW_FIELDS, **UPSTREAM_STATE_FIELDS, "silent": bool},
-        MAX_FAILURE_LINES_PER_SECOND,
-    ),
-    Event(
-        "reset",
-        WARNING,
-        "A flow was reset towards its caller; `reason` is the name of a counter.",
-        {**FLOW_FIELDS, **UPSTREAM_STATE_FIELDS, "reason": str, "revision": int},
-        MAX_FAILURE_LINES_PER_SECOND,
-    ),
-    Event(
-        "held",
-        INFO,
-        "A packet is held; `reason` says what it waits for.",
-        {**FLOW_FIELDS, "reason": str},
-        MAX_SUCCESS_LINES_PER_SECOND,
-    ),
-    Event(
-        "dropped",
-        WARNING,
-        "A held packet timed out, or there was no room to hold it, and it was dropped.",
-        {**FLOW_FIELDS, "reason": str, "waited_ms": int},
-        MAX_FAILURE_LINES_PER_SECOND,
-    ),
-)
 STATE_EVENTS = (
     Event(
         "upstream",
