Explain processes that wait for an address, and lines that follow the last one

A record that could not be written at a stop, and counts of events that were left out, are logged after `stopped`: a trial's clean stop was followed by a run of one line, which would be listed as killed. A process that waits for an address has not ended, but has not started either.

--- a/lycheevalve/logs/process_ends.py
+++ b/lycheevalve/logs/process_ends.py
@@ -23,6 +23,8 @@
 # The last lines of a text that is no event.
 MAX_TEXT_LINES = 60
 LAST_EVENTS = ("stopped", "ended")
+# Events that a process may log after them.
+TRAILING_EVENTS = ("left_out", "run_not_recorded")
 # Events that may have caused an end, besides those of level WARNING and above.
 CAUSE_EVENTS = frozenset(
     (*(event.name for event in OPERATOR_EVENTS), "reloaded", "in_force", "leaving")
@@ -53,8 +55,10 @@
 
     def begins_another(self, line):
         """Return whether a line belongs to a later run of the instance."""
-        if self.find(*LAST_EVENTS) is not None or line.event == "starting":
+        if line.event == "starting":
             return bool(self.lines)
+        if self.find(*LAST_EVENTS) is not None:
+            return line.event not in TRAILING_EVENTS
         return line.event == "started" and self.find("started") is not None
 
     @property
@@ -174,7 +178,7 @@
 
 def describe_run(run, lines):
     """Return the findings about the failed tasks and the end of a run as (time, text)."""
-    findings = describe_failed_tasks(run)
+    findings = describe_failed_tasks(run) + describe_addresses(run)
     at = run.last_at
     prefix = f"{format_time(at)} {run.instance}"
     ended, text = run.find("ended"), find_error(run.texts)
@@ -231,6 +235,17 @@
     ]
 
 
+def describe_addresses(run):
+    """Return the finding about an address that a process still waited for at its last line."""
+    line = run.find("address_unavailable", "address_available")
+    if line is None or line.event == "address_available":
+        return []
+    address, step, reason = (line.fields.get(k, "") for k in ("address", "step", "reason"))
+    text = f"{run.instance} waits for {address} ({step}): {reason}"
+    seconds = line.fields.get("waited_ms", 0) / 1000
+    return [(line.at, f"{format_time(line.at)} {text}, for {seconds:.1f} s")]
+
+
 def describe_common_ends(runs):
     """Return findings about instances that ended at the same time without last lines."""
     lost = sorted(
--- a/lycheevalve/tests/test_process_ends.py
+++ b/lycheevalve/tests/test_process_ends.py
@@ -105,6 +105,29 @@
         names = [line.event for line in found.lines]
         assert names.count("starting") == 2 and "stopped" in names
 
+    @pytest.mark.parametrize(
+        ("event", "fields"),
+        [("left_out", {"counts": {}}), ("run_not_recorded", {"reason": "full"})],
+    )
+    def test_lines_after_the_last_one_are_no_other_run(self, event, fields):
+        """Guards against a stop that is listed as a process that was killed."""
+        lines = [*start(1), build_line(3, "stopped"), build_line(3.1, event, **fields)]
+        assert "no end and no failed task" in report("c1", c1=[*lines, *start(4)]).findings[0]
+
+    def test_address_that_a_start_waits_for(self):
+        """Guards against a process that does not start, with no finding about it."""
+        wait = {"step": "listen for operators", "address": "10.0.0.1:80", "waited_ms": 5000}
+        lines = [
+            start(1)[0],
+            build_line(2, "address_unavailable", reason="in use", **wait),
+        ]
+        [finding] = report("c1", c1=lines).findings
+        assert finding.endswith(
+            "c1 waits for 10.0.0.1:80 (listen for operators): in use, for 5.0 s"
+        )
+        lines.append(build_line(3, "address_available", **wait))
+        assert "no end" in report("c1", c1=lines).findings[0]
+
     def test_failed_tasks_are_counted_by_cause(self):
         failure = {"task": "link", "peer": "", "error": "OSError()", "place": "links:9"}
         lines = [build_line(second, "task_failed", **failure) for second in (3, 4, 5)]
@@ -149,6 +172,12 @@
         assert len(report("", all=lines).findings) == 1
         assert report("e1", all=lines).findings == ["no end and no failed task in these logs"]
 
+    @pytest.mark.parametrize("name", sorted(EVENTS))
+    def test_event_without_fields(self, name):
+        """Guards against logs of other versions that can't be explained."""
+        lines = [*start(1), build_line(3, name), *start(4)]
+        assert format_report(report("", c1=lines))
+
     def test_unknown_instance(self):
         assert report("c9", c1=start(1)).missing == ["no line of c9 in these logs"]
 
