Keep logging when an output refuses lines or an event can't be formatted

Cause: loguru prints what a sink raises to standard error, `bind` is called outside of it, every OSError cleared the buffer, `logging` writes to standard error without a handler, and texts had no bound.

The tests failed before: AssertionError ['stopped'] == ['unformattable', 'stopped']; TypeError: bind() got multiple values for keyword argument 'instance'; BlockingIOError at the read of lines that were discarded; a line glued to the cut one before it.

Now an event without a line is reported as `unformattable`, EAGAIN keeps the lines, refused ones are counted in `lines_lost`, warnings of libraries become the event `library_warning`, and texts are shortened to 2000 characters when they are recorded.

--- a/lycheevalve/logs/queue.py
+++ b/lycheevalve/logs/queue.py
@@ -7,6 +7,7 @@
 
 import collections
 import json
+import logging
 import os
 import select
 import sys
@@ -30,6 +31,8 @@
 WRITE_INTERVAL_SECONDS = 0.1
 # A writable pipe accepts this many bytes without blocking (PIPE_BUF on Linux).
 CHUNK_BYTES = 4096
+# Longer texts are shortened: a reason may quote a whole request, and events may wait for long.
+MAX_FIELD_CHARACTERS = 2000
 # How long a stopping process waits for its output to be read.
 CLOSE_TIMEOUT_SECONDS = 0.2
 
@@ -62,7 +65,7 @@
             return
         now = self.clock()
         if self.has_room(event) and self.consume_budget(event, now):
-            self.records.append((now, event, fields))
+            self.records.append((now, event, shorten_texts(fields)))
         else:
             self.left_out[name] += 1
             self.left_out_total[name] += 1
@@ -90,15 +93,50 @@
         return records
 
 
+def shorten_texts(fields):
+    """Return the fields of an event with texts of at most MAX_FIELD_CHARACTERS."""
+    return {
+        key: f"{value[:MAX_FIELD_CHARACTERS]}... ({len(value)} characters)"
+        if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS
+        else value
+        for key, value in fields.items()
+    }
+
+
+class LibraryHandler(logging.Handler):
+    """
+    Records the warnings of libraries as events.
+
+    Without a handler, `logging` writes them to standard error, which blocks when it isn't read.
+    """
+
+    def __init__(self, queue):
+        super().__init__(logging.WARNING)
+        self.queue = queue
+
+    def emit(self, entry):
+        """Record one warning or error of a library."""
+        self.queue.record("library_warning", logger=entry.name, reason=entry.getMessage())
+
+
 @attrs.define(eq=False)
 class Output:
     """Buffered output to a file descriptor, written without blocking."""
 
     descriptor: int
     buffer: bytearray = attrs.field(factory=bytearray)
+    # Lines that the descriptor refused, and the latest error, which is empty once a write
+    # has succeeded again.
+    lost_lines: int = 0
+    error: str = ""
+    # Whether the last line was written in part so far.
+    is_line_open: bool = False
 
     def add(self, line):
         """Append a line to the buffer."""
+        if self.is_line_open and not self.buffer:
+            # The rest of that line was refused.
+            self.buffer += b"\n"
         self.buffer += line.encode() + b"\n"
 
     def is_full(self):
@@ -118,12 +156,26 @@
             end = self.buffer.rfind(b"\n", 0, CHUNK_BYTES) + 1 or CHUNK_BYTES
             try:
                 count = os.write(self.descriptor, self.buffer[:end])
-            except OSError:
-                # The reader is gone, and there is no other output to report that to.
+            except BlockingIOError:
+                # Another process has filled the pipe in the meantime.
+                return
+            except OSError as error:
+                # There is no other output: the loss is reported once this one accepts lines.
+                self.lost_lines += self.buffer.strip(b"\n").count(b"\n") + 1
+                self.error = str(error)
                 self.buffer.clear()
                 return
+            self.error = ""
+            self.is_line_open = self.buffer[count - 1 : count] != b"\n"
             del self.buffer[:count]
 
+    def pop_loss(self):
+        """Return and clear the number of lost lines, once the output accepts lines again."""
+        if self.error:
+            return 0
+        lines, self.lost_lines = self.lost_lines, 0
+        return lines
+
 
 def build_line(record):
     """Format a loguru record as a JSON line."""
@@ -150,7 +202,7 @@
     def configure_logger(self, loguru):
         """Make loguru write to the output."""
         loguru.logger.remove()
-        loguru.logger.add(self.add_line, level=0, format="{message}")
+        loguru.logger.add(self.add_line, level=0, format="{message}", catch=False)
         self.logger = loguru.logger
 
     def add_line(self, message):
@@ -163,9 +215,24 @@
         if self.output.is_full():
             return
         for at, event, fields in self.queue.pop_all():
-            name = LEVEL_NAMES[event.level]
-            self.logger.bind(at=at, **self.common_fields, **fields).log(name, event.name)
+            self.add_event(at, event, fields)
         self.output.write(seconds)
+        lost_lines = self.output.pop_loss()
+        if lost_lines:
+            self.queue.record("lines_lost", lines=lost_lines)
+
+    def add_event(self, at, event, fields):
+        """Append the line of an event, or one that says why it has none."""
+        try:
+            self.log(at, event, fields)
+        except Exception as error:
+            details = {"name": event.name, "reason": type(error).__name__}
+            self.log(at, EVENTS["unformattable"], details)
+
+    def log(self, at, event, fields):
+        """Append the line of an event."""
+        name = LEVEL_NAMES[event.level]
+        self.logger.bind(at=at, **self.common_fields, **fields).log(name, event.name)
 
     async def run(self):
         """Write queued events in batches until cancelled; an idle process isn't woken."""
@@ -204,3 +271,5 @@
     """Log events of the named level and above, with `common_fields` in each line."""
     queue.level = LEVELS[level]
     writer.common_fields = common_fields
+    # Does nothing if there is a handler already.
+    logging.basicConfig(handlers=[LibraryHandler(queue)])
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -333,6 +333,25 @@
         MAX_BAD_INPUT_LINES_PER_SECOND,
     ),
     Event("bad_call", INFO, "An HTTP request could not be parsed.", {"reason": str}),
+    Event(
+        "lines_lost",
+        WARNING,
+        "The output refused lines, and accepts them again.",
+        {"lines": int},
+    ),
+    Event(
+        "unformattable",
+        WARNING,
+        "An event could not be formatted as a line; `name` is its kind.",
+        {"name": str, "reason": str},
+    ),
+    Event(
+        "library_warning",
+        WARNING,
+        "A warning of a library, for instance of one that accepts connections.",
+        {"logger": str, "reason": str},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
     Event(
         "task_failed",
         ERROR,
--- a/lycheevalve/tests/test_logs.py
+++ b/lycheevalve/tests/test_logs.py
@@ -2,7 +2,9 @@
 
 import ast
 import collections
+import errno
 import json
+import logging
 import os
 import select
 from pathlib import Path
@@ -141,6 +143,24 @@
         assert len(logs.records) == queue.MAX_QUEUED_RECORDS
         assert logs.left_out["reset"] == 5
 
+    # Reasons that quoted a request of megabytes waited in the queue until memory was used up.
+    def test_long_text_is_shortened(self):
+        logs, _ = build_queue()
+        logs.record("refused", reason="x" * 3_000_000, peer="a")
+        ((_, _, fields),) = logs.pop_all()
+        assert len(fields["reason"]) < queue.MAX_FIELD_CHARACTERS + 40
+        assert fields["reason"].endswith("(3000000 characters)")
+
+    # Errors of libraries went to standard error, which blocks the process when it isn't read.
+    def test_warnings_of_libraries_are_recorded(self):
+        logs, _ = build_queue()
+        logger = logging.getLogger("tests.library")
+        logger.addHandler(queue.LibraryHandler(logs))
+        logger.error("accept returned %s", "EMFILE")
+        ((_, event, fields),) = logs.pop_all()
+        assert event.name == "library_warning"
+        assert fields == {"logger": "tests.library", "reason": "accept returned EMFILE"}
+
     def test_events_below_the_level_are_ignored(self):
         logs, _ = build_queue(level=schema.WARNING)
         logs.record("placed", flow="f")
@@ -164,6 +184,11 @@
     return writer, clock
 
 
+def refuse_write(_):
+    """Refuse a write as a full disk does."""
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
 class TestWriter:
     """Lines written to a descriptor."""
 
@@ -230,6 +255,69 @@
         os.close(descriptor)
         assert not writer.output.buffer
 
+    # An event whose value json can't represent was printed to standard error with a traceback.
+    def test_unformattable_event_is_reported_and_the_next_is_written(self, pipe):
+        writer, _ = build_writer(pipe[1])
+        writer.queue.record("accepted", revision=10**5000)
+        writer.queue.record("stopped")
+        writer.write()
+        lines = [json.loads(line) for line in os.read(pipe[0], 4000).splitlines()]
+        assert [line["event"] for line in lines] == ["unformattable", "stopped"]
+        assert (lines[0]["name"], lines[0]["reason"]) == ("accepted", "ValueError")
+
+    # A field named as one of the line's own ended the process.
+    def test_event_with_a_field_of_the_line_is_reported(self, pipe):
+        writer, _ = build_writer(pipe[1])
+        writer.queue.record("stopped", instance="another")
+        writer.write()
+        assert json.loads(os.read(pipe[0], 4000))["event"] == "unformattable"
+
+    # A full pipe shared with another process discarded all lines that waited.
+    def test_lines_wait_when_another_process_has_filled_the_pipe(self, pipe, monkeypatch):
+        writer, _ = build_writer(pipe[1])
+        for end in pipe:
+            os.set_blocking(end, False)
+        monkeypatch.setattr(Output, "is_writable", lambda self, seconds=0.0: True)
+        filler = os.write(pipe[1], b"x" * PIPE_BYTES)
+        writer.queue.record("stopped")
+        writer.write()
+        os.read(pipe[0], filler)
+        writer.write()
+        assert json.loads(os.read(pipe[0], 4000))["event"] == "stopped"
+
+    # Lines that a full disk had refused were missing without a trace.
+    def test_lines_refused_by_the_output_are_counted(self, tmp_path, monkeypatch):
+        path = tmp_path / "output"
+        descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+        writer, _ = build_writer(descriptor)
+        write = os.write
+        results = [lambda data: write(descriptor, data[:10]), refuse_write, refuse_write]
+
+        def write_or_refuse(_, data):
+            return results.pop(0)(data) if results else write(descriptor, data)
+
+        monkeypatch.setattr(os, "write", write_or_refuse)
+        for _ in range(3):
+            writer.queue.record("stopped")
+            writer.write()
+        writer.write()
+        os.close(descriptor)
+        cut, *lines = path.read_text().splitlines()
+        assert cut == '{"time": "'
+        events = [json.loads(line) for line in lines]
+        assert [event["event"] for event in events] == ["stopped", "lines_lost"]
+        assert events[1]["lines"] == 2
+
+    # A closed standard output must not end the process.
+    def test_closed_descriptor_raises_nothing(self):
+        reader, descriptor = os.pipe()
+        os.close(reader)
+        os.close(descriptor)
+        writer, _ = build_writer(descriptor)
+        writer.queue.record("stopped")
+        writer.write()
+        assert writer.output.lost_lines == 1
+
     def test_idle_writer_is_not_woken(self, pipe, monkeypatch):
         writer, _ = build_writer(pipe[1])
         writes = []
