--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -5,7 +5,9 @@
 replicated log holds it, compressed, under its revision.
 """
 
+import ipaddress
 import json
+import re
 import socket
 import zlib
 
@@ -13,15 +15,32 @@
 
 from lycheevalve.exceptions import SettingsError
 from lycheevalve.flows.front_doors import FrontDoorRoute
+from lycheevalve.platform.strict_json import read_json
+from lycheevalve.schema.encodable import find_error
+from lycheevalve.schema.generated.messages import Change
 
 STEP = "check configuration"
 MAX_PORT = 65_535
+PATH_PREFIX = re.compile("/[0-9]{1,5}/")
 # Route types whose requests are idempotent, so that callers may repeat them.
 IDEMPOTENT_ROUTE_TYPES = ("safe", "download")
 UPLOAD_ROUTE_TYPE = "upload"
 # Level 1 takes a third of the default level's CPU time and an eighth more bytes
 # (350 routes: 0.11 ms and 2,926 bytes, against 0.33 ms and 2,582 bytes).
 COMPRESSION_LEVEL = 1
+# Sums of such numbers can be converted to floating-point numbers.
+MAX_INTEGER = 2**63 - 1
+# What the content of a document may raise while it is read.
+CONTENT_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    OSError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    zlib.error,
+)
 
 
 @attrs.frozen
@@ -31,15 +50,30 @@
     revision: int
     text: bytes
 
+    def build_change(self):
+        """Return the Change that puts this configuration in force."""
+        return Change(
+            change_id=f"{self.revision}", target_revision=self.revision, document=self.text
+        )
+
 
 def read_document(body):
     """Return the Document of a request's body; raise SettingsError when it is invalid."""
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        value = read_json(body)
+    except ValueError as error:
         raise SettingsError(f"configuration is not valid JSON: {error}", STEP) from error
     check_document(value)
-    return Document(value["version"], zlib.compress(bytes(body), COMPRESSION_LEVEL))
+    document = Document(value["version"], zlib.compress(bytes(body), COMPRESSION_LEVEL))
+    check_encodable(document.build_change())
+    # Instances read the text again, from their disks also after a restart.
+    read_routes(document.text)
+    return document
+
+
+def check_encodable(change):
+    """Raise SettingsError when a Change can't be encoded for other processes."""
+    require(not (reason := find_error(change)), reason)
 
 
 def decompress_document(text):
@@ -48,8 +82,19 @@
 
 
 def read_routes(text):
-    """Return the routes of a compressed document by (packed address, port)."""
-    value = json.loads(zlib.decompress(text))
+    """
+    Return the routes of a compressed document by (packed address, port).
+
+    Raise SettingsError when it is unreadable, as one may be that an earlier version accepted.
+    """
+    try:
+        return build_routes(json.loads(zlib.decompress(text)))
+    except CONTENT_ERRORS as error:
+        raise SettingsError(f"unreadable: {error!r}", "read configuration") from error
+
+
+def build_routes(value):
+    """Return the routes of a decoded document by (packed address, port)."""
     warming = frozenset(
         service["name"]
         for service in value.get("services", ())
@@ -85,13 +130,17 @@
     """Return the services of a route as ((name, weight), ...)."""
     weighted = route.get("weightedBackends")
     if weighted:
+        # Flows are distributed by the sum of the weights as a floating-point number.
+        float(sum(backend["weight"] for backend in weighted))
         return tuple((backend["service"], backend["weight"]) for backend in weighted)
     return ((route["service"], 1),)
 
 
 def is_integer(value, minimum=0):
-    """Return whether a value is an integer of at least `minimum`."""
-    return isinstance(value, int) and not isinstance(value, bool) and value >= minimum
+    """Return whether a value is an integer from `minimum` to MAX_INTEGER."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        return False
+    return minimum <= value <= MAX_INTEGER
 
 
 def is_number(value):
@@ -108,7 +157,10 @@
 def check_document(value):
     """Raise SettingsError when a configuration is invalid."""
     require(isinstance(value, dict), "configuration must be a JSON object")
-    require(is_integer(value.get("version"), 1), "version must be a positive integer")
+    require(
+        is_integer(value.get("version"), 1),
+        f"version must be an integer from 1 to {MAX_INTEGER}",
+    )
     for key in ("routes", "services"):
         require(isinstance(value.get(key), list), f"{key} must be a list")
     limits = value.get("limits", {})
@@ -150,16 +202,26 @@
     require(isinstance(name, str) and name, "each route must have a name, a non-empty string")
     require(
         is_integer(route.get("timeoutMs"), 1),
-        f"route {name}: timeoutMs must be a positive integer",
+        f"route {name}: timeoutMs must be an integer from 1 to {MAX_INTEGER}",
     )
     for backend in check_backends(route, name):
         require(backend in services, f"route {name}: unknown service {backend!r}")
+    return check_front_door(route, name)
+
+
+def check_front_door(route, name):
+    """Return the (packed address, port) of a route; raise SettingsError for an invalid one."""
+    host, prefix = route.get("host"), route.get("pathPrefix")
+    # Other parsers of addresses and numbers accept more, such as `198.18.1` and `4_43`.
     try:
-        address = read_front_door_address(route)
-    except (KeyError, ValueError, OSError, TypeError, AttributeError) as error:
-        raise SettingsError(
-            f"route {name}: invalid host or pathPrefix: {error!r}", STEP
-        ) from error
+        ipaddress.IPv4Address(host if isinstance(host, str) else "")
+    except ValueError as error:
+        raise SettingsError(f"route {name}: invalid host: {error}", STEP) from error
+    require(
+        isinstance(prefix, str) and PATH_PREFIX.fullmatch(prefix),
+        f"route {name}: pathPrefix must be a port between slashes",
+    )
+    address = read_front_door_address(route)
     require(
         0 < address[1] <= MAX_PORT,
         f"route {name}: the port in pathPrefix must be from 1 to 65535",
@@ -169,22 +231,23 @@
 
 def check_backends(route, name):
     """Return the names of a route's services; raise SettingsError for invalid backends."""
-    weighted = route.get("weightedBackends")
+    service, weighted = route.get("service"), route.get("weightedBackends")
+    require(
+        service is None or isinstance(service, str), f"route {name}: service must be a string"
+    )
+    # A service beside weighted backends gets no flows, but must be known all the same.
+    services = [service] if service else []
     if weighted is None or weighted == []:
-        service = route.get("service")
-        require(
-            isinstance(service, str) and service,
-            f"route {name}: service must be a non-empty string",
-        )
-        return [service]
+        require(services, f"route {name}: service must be a non-empty string")
+        return services
     require(isinstance(weighted, list), f"route {name}: weightedBackends must be a list")
     for backend in weighted:
         is_valid = isinstance(backend, dict) and isinstance(backend.get("service"), str)
         require(is_valid, f"route {name}: each backend must name a service")
         require(
             is_integer(backend.get("weight")),
-            f"route {name}: each backend must have a weight, an integer of 0 or more",
+            f"route {name}: each weight must be an integer from 0 to {MAX_INTEGER}",
         )
     total = sum(backend["weight"] for backend in weighted)
     require(total > 0, f"route {name}: at least one weight must be above 0")
-    return [backend["service"] for backend in weighted]
+    return services + [backend["service"] for backend in weighted]
