Keep descriptors free for files, links and imports when idle connections pile up

What operators saw, in trials with 64 descriptors and 100 idle connections: at the operators' and metrics ports, and at the port of links, no port of the control replica answered while they were open, at the readiness port the entry instance failed its probes; with those of links, the replica ended (EMFILE) when half of them were reset.

Cause: links had no limit, HTTP ports one of 1000 each whatever the limit of the process, and a full port closed new connections while idle ones stayed open.

Each listener now has a share of the descriptors of RLIMIT_NOFILE beyond a reserve for the process's own use. A listener that is full closes the connection that is idle longest, first those on which no request was handled; one whose request is being handled stays. Both are logged as `connections_full` and counted in `connections_closed`.

The tests failed before: AssertionError 500 != 200 at the metrics port (EMFILE in the import of the text format); with only links and HTTP ports unchanged.

--- a/lycheevalve/daemon/exposition.py
+++ b/lycheevalve/daemon/exposition.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lycheevalve import __version__
+from lycheevalve.daemon.accepted import closed
 from lycheevalve.daemon.boundaries import failures
 from lycheevalve.daemon.ends import current_run
 from lycheevalve.daemon.http import Response, Server
@@ -71,6 +72,12 @@
             ("task", "error"),
             failures,
         ),
+        counter(
+            "connections_closed",
+            "Connections closed because a listener had as many as it may keep open.",
+            ("listener", "closed"),
+            closed,
+        ),
     ]
 
 
@@ -95,4 +102,4 @@
         metrics = [*list_process_metrics(), *list_metrics()]
         return Response(200, text.build_text(metrics), text.CONTENT_TYPE)
 
-    return Server(address, handle)
+    return Server(address, handle, "metrics")
--- a/lycheevalve/daemon/http.py
+++ b/lycheevalve/daemon/http.py
@@ -11,13 +11,12 @@
 import attrs
 import trio
 
+from lycheevalve.daemon.accepted import Connections, limit_connections
 from lycheevalve.daemon.boundaries import contain
 from lycheevalve.logs.queue import record
 from lycheevalve.utils.addresses import format_peer, parse_address
 from lycheevalve.utils.imports import load_module
 
-# New connections beyond this many are closed at once, even if open ones are idle.
-MAX_CONNECTIONS = 1000
 CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -51,12 +50,16 @@
 
 
 class Server:
-    """Serves HTTP on one address; `await handle(request)` returns the Response."""
+    """
+    Serves HTTP on one address; `await handle(request)` returns the Response.
 
-    def __init__(self, address, handle):
+    `kind` is the one of accepted.py that limits the connections.
+    """
+
+    def __init__(self, address, handle, kind="http"):
         self.address = address
         self.handle = handle
-        self.open_connections = 0
+        self.connections = Connections(kind, limit_connections(kind))
         self.protocol = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -68,24 +71,16 @@
 
     async def serve(self, stream):
         """Serve one connection."""
-        if self.open_connections >= MAX_CONNECTIONS:
-            await trio.aclose_forcefully(stream)
-            return
-        self.open_connections += 1
-        peer = format_peer(stream.socket)
-        try:
-            with contain("http connection", peer):
-                await self.serve_requests(stream, peer)
-        finally:
-            self.open_connections -= 1
-            await trio.aclose_forcefully(stream)
+        with contain("http connection", format_peer(stream.socket)):
+            await self.connections.serve(stream, self.serve_requests, self.answer)
 
-    async def serve_requests(self, stream, peer):
+    async def serve_requests(self, stream, answer):
         """Answer the requests of one connection until it is closed."""
+        peer = format_peer(stream.socket)
         try:
             if self.protocol is None:
                 self.protocol = await load_module("lycheevalve.daemon.http_connection")
-            await self.protocol.serve_requests(stream, peer, self.answer)
+            await self.protocol.serve_requests(stream, peer, answer)
         except CONNECTION_ERRORS as error:
             record("link_failed", peer=peer, reason=repr(error))
 
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from lycheevalve.daemon.accepted import Connections, limit_connections
 from lycheevalve.daemon.boundaries import contain
 from lycheevalve.exceptions import FrameError, LycheevalveError, UnavailableError
 from lycheevalve.logs.queue import record
@@ -186,13 +187,14 @@
     `handle(sender, message)` returns the answer to a message, or None.
     """
     host, port = parse_address(address)
+    connections = Connections("links", limit_connections("links"))
 
     async def serve(stream):
-        peer = format_peer(stream.socket)
-        with contain("link", peer):
-            await serve_link(stream, peer)
+        with contain("link", format_peer(stream.socket)):
+            await connections.serve(stream, serve_link, handle)
 
-    async def serve_link(stream, peer):
+    async def serve_link(stream, handle):
+        peer = format_peer(stream.socket)
         try:
             await serve_connection(stream, make_codec(), handle)
         except FrameError as error:
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -369,6 +369,13 @@
         MAX_BAD_INPUT_LINES_PER_SECOND,
     ),
     Event("bad_call", INFO, "An HTTP request could not be parsed.", {"reason": str}),
+    Event(
+        "connections_full",
+        WARNING,
+        "A listener has all connections it may keep open: one was closed, `idle` or the `new`.",
+        {"listener": str, "limit": int, "closed": str},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
     Event(
         "lines_lost",
         WARNING,
