Bound the memory of large messages that arrive or leave slowly

What operators would see: a process over its memory limit is killed.

Cause: each connection could buffer one whole message, before any signature is checked, and neither the rest of a frame nor the reading of an answer had a time limit.

Messages above 16 KB now share 32 MB (daemon/buffers.py): a frame beyond that closes its link, a body or an answer beyond it gets 503, logged as `buffers_full`. A frame whose rest stalls closes its link after LINK_TIMEOUT_SECONDS, and an answer that isn't read for as long as a connection may be idle closes that connection. Small messages are not affected.

--- a/lycheevalve/daemon/http_connection.py
+++ b/lycheevalve/daemon/http_connection.py
@@ -3,14 +3,16 @@
 import h11
 import trio
 
+from lycheevalve.daemon.buffers import buffers
 from lycheevalve.daemon.http import Request, Response, build_error
+from lycheevalve.exceptions import UnavailableError
 from lycheevalve.logs.queue import record
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 READ_BYTES = 65_536
 # The whole body must arrive within this time after the head.
 REQUEST_TIMEOUT_SECONDS = 5.0
-# A connection is closed when no request arrives within this time.
+# A connection is closed when no request arrives, or an answer isn't read, within this time.
 IDLE_TIMEOUT_SECONDS = 30.0
 
 
@@ -26,12 +28,20 @@
 
 async def serve_request(connection, stream, peer, handle):
     """Answer one request; return whether another may follow on the connection."""
+    with buffers.hold() as count_bytes:
+        return await answer_request(connection, stream, peer, handle, count_bytes)
+
+
+async def answer_request(connection, stream, peer, handle, count_bytes):
+    """Answer one request; `count_bytes(size)` counts the memory for its body and answer."""
     head = None
     try:
         head = await read_head(connection, stream)
         if head is None:
             return False
-        request = check_head(head) or await read_request(connection, stream, head, peer)
+        request = check_head(head) or await read_request(
+            connection, stream, head, peer, count_bytes
+        )
     except h11.RemoteProtocolError as error:
         record("bad_call", reason=str(error))
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -41,6 +51,12 @@
         await write_response(connection, stream, head, request, close=True)
         return False
     response = await handle(request)
+    # The body is not needed any more, while the answer may wait for its reader.
+    del request
+    try:
+        count_bytes(len(response.body))
+    except UnavailableError as error:
+        response = build_error(503, str(error))
     await write_response(connection, stream, head, response)
     return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
@@ -61,14 +77,17 @@
     return None
 
 
-async def read_request(connection, stream, head, peer):
+async def read_request(connection, stream, head, peer, count_bytes):
     """Return the Request of a head, or an error Response."""
-    with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
-        return await read_body(connection, stream, head, peer)
+    try:
+        with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
+            return await read_body(connection, stream, head, peer, count_bytes)
+    except UnavailableError as error:
+        return build_error(503, str(error))
     return build_error(408, "the request body did not arrive in time")
 
 
-async def read_body(connection, stream, head, peer):
+async def read_body(connection, stream, head, peer, count_bytes):
     """Return the Request of a head and its body, or an error Response."""
     body = bytearray()
     while True:
@@ -77,6 +96,7 @@
             body += event.data
             if len(body) > MAX_BODY_BYTES:
                 return build_error(413, f"the request body exceeds {MAX_BODY_BYTES} bytes")
+            count_bytes(len(body))
         elif isinstance(event, h11.EndOfMessage):
             method, path = head.method.decode(), head.target.decode()
             return Request(method, path, bytes(body), peer)
@@ -109,4 +129,7 @@
     if response.body and not (head and head.method == b"HEAD"):
         data += connection.send(h11.Data(data=response.body))
     data += connection.send(h11.EndOfMessage())
-    await stream.send_all(data)
+    with trio.move_on_after(IDLE_TIMEOUT_SECONDS) as scope:
+        await stream.send_all(data)
+    if scope.cancelled_caught:
+        raise trio.BrokenResourceError("the answer was not read in time")
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -6,6 +6,7 @@
 another greeting as a heartbeat; a link without an answer is closed and reopened.
 """
 
+import math
 import os
 import struct
 
@@ -13,6 +14,7 @@
 
 from lycheevalve.daemon.accepted import Connections, limit_connections
 from lycheevalve.daemon.boundaries import contain
+from lycheevalve.daemon.buffers import buffers
 from lycheevalve.exceptions import FrameError, LycheevalveError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.frames import FrameCodec
@@ -21,6 +23,8 @@
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+READ_BYTES = 64 * 1024
+STALLED = "the rest of a frame did not arrive in time"
 NONCE_BYTES = 16
 CONNECT_TIMEOUT_SECONDS = 1.0
 HEARTBEAT_INTERVAL_SECONDS = 0.5
@@ -36,15 +40,25 @@
 )
 
 
-async def read_exactly(stream, count):
-    """Return `count` bytes, or raise UnavailableError when the stream ends."""
-    data = b""
-    while len(data) < count:
-        chunk = await stream.receive_some(count - len(data))
-        if not chunk:
-            raise UnavailableError("the connection was closed", "read link")
-        data += chunk
-    return data
+async def read_exactly(stream, count, seconds=math.inf):
+    """
+    Return `count` bytes, or raise UnavailableError when the stream ends.
+
+    It is also raised when nothing arrives for some seconds, and when there is no memory left
+    for large messages.
+    """
+    data = bytearray()
+    with buffers.hold() as count_bytes:
+        while len(data) < count:
+            chunk = None
+            with trio.move_on_after(seconds):
+                chunk = await stream.receive_some(min(READ_BYTES, count - len(data)))
+            if not chunk:
+                reason = "the connection was closed" if chunk is not None else STALLED
+                raise UnavailableError(reason, "read link")
+            data += chunk
+            count_bytes(len(data))
+    return bytes(data)
 
 
 async def read_frame(stream):
@@ -52,7 +66,7 @@
     (length,) = LENGTH.unpack(await read_exactly(stream, LENGTH.size))
     if length > MAX_FRAME_BYTES:
         raise FrameError(f"a frame of {length} bytes exceeds the size limit", "read link")
-    return await read_exactly(stream, length)
+    return await read_exactly(stream, length, LINK_TIMEOUT_SECONDS)
 
 
 async def write_frame(stream, frame):
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -376,6 +376,13 @@
         {"listener": str, "limit": int, "closed": str},
         MAX_BAD_INPUT_LINES_PER_SECOND,
     ),
+    Event(
+        "buffers_full",
+        WARNING,
+        "A message was refused, as large ones take all the memory reserved for them.",
+        {"used": int},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
     Event(
         "lines_lost",
         WARNING,
