Read on after any error of a UDP socket, and bound the bytes of a batch

On a real kernel recvfrom may report ENETUNREACH, EHOSTUNREACH or ENOBUFS for an earlier datagram. Only refused ones were expected: another error left read_datagrams, which ends the thread that forwards packets during a start and fails the task that reads packets; a refusal without end was read without end. The 64 batches that wait in an inbox could hold 64 datagrams of 64 KB each.

All errors of the system are now counted, each as one of the batch, and a batch ends at 256 KB.

--- a/lycheevalve/daemon/datagrams.py
+++ b/lycheevalve/daemon/datagrams.py
@@ -3,7 +3,9 @@
 from _socket import AF_INET, SO_RCVBUF, SO_SNDBUF, SOCK_DGRAM, SOL_SOCKET, socket
 
 MAX_DATAGRAM_BYTES = 65_535
+# Batches wait in queues, so that their number of bytes is limited too.
 BATCH_DATAGRAMS = 64
+BATCH_BYTES = 256 * 1024
 # Holds bursts that arrive between two reads.
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
@@ -22,14 +24,18 @@
     """
     Return (up to a batch of (datagram, sender), number of errors) without waiting.
 
-    The errors are those of earlier datagrams: the port of their receiver is closed.
+    The errors are those of earlier datagrams, whose receiver can't be reached, and those of a
+    system without memory. Each counts as one of the batch, as they may not end.
     """
-    batch, errors = [], 0
-    while len(batch) < BATCH_DATAGRAMS:
+    batch, errors, size = [], 0, 0
+    while len(batch) + errors < BATCH_DATAGRAMS and size < BATCH_BYTES:
         try:
-            batch.append(source.recvfrom(MAX_DATAGRAM_BYTES))
+            received = source.recvfrom(MAX_DATAGRAM_BYTES)
         except BlockingIOError:
             break
-        except ConnectionError:
+        except OSError:
             errors += 1
+        else:
+            batch.append(received)
+            size += len(received[0])
     return batch, errors
--- a/lycheevalve/tests/test_resources.py
+++ b/lycheevalve/tests/test_resources.py
@@ -1,6 +1,7 @@
 """Limits of descriptors and memory while a process runs."""
 
 import contextlib
+import errno
 import http.client
 import resource
 import socket
@@ -13,6 +14,7 @@
 from lycheevalve.daemon import accepted, http_connection, links
 from lycheevalve.daemon.accepted import Connections, limit_connections
 from lycheevalve.daemon.buffers import SMALL_MESSAGE_BYTES, Buffers
+from lycheevalve.daemon.datagrams import BATCH_BYTES, BATCH_DATAGRAMS, read_datagrams
 from lycheevalve.daemon.http import Request, Response
 from lycheevalve.exceptions import UnavailableError
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
@@ -301,3 +303,39 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         assert small_buffers.used == 0
+
+
+class FakeSocket:
+    """A socket that returns or raises the given results, the last one without end."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+
+    def recvfrom(self, size):
+        """Return the next datagram, or raise the next error."""
+        result = self.results.pop(0) if len(self.results) > 1 else self.results[0]
+        if isinstance(result, OSError):
+            raise result
+        return result, ("10.0.0.1", 5)
+
+
+class TestReadDatagrams:
+    """Errors and sizes of what a UDP socket receives."""
+
+    # An error other than a refused datagram ended the thread or the task that reads.
+    @pytest.mark.parametrize(
+        "number", [errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENOBUFS]
+    )
+    def test_error_is_counted_and_reading_goes_on(self, number):
+        source = FakeSocket(b"one", OSError(number, "failed"), b"two", BlockingIOError())
+        batch, errors = read_datagrams(source)
+        assert ([data for data, _ in batch], errors) == ([b"one", b"two"], 1)
+
+    # A socket that fails without end was read without end.
+    def test_errors_without_end_end_the_batch(self):
+        assert read_datagrams(FakeSocket(ConnectionRefusedError())) == ([], BATCH_DATAGRAMS)
+
+    # The 64 batches that may wait in a queue held up to 268 MB.
+    def test_bytes_of_a_batch_are_limited(self):
+        batch, _ = read_datagrams(FakeSocket(bytes(65_000)))
+        assert BATCH_BYTES <= sum(len(data) for data, _ in batch) < BATCH_BYTES + 65_536
