--- a/lycheevalve/daemon/http.py
+++ b/lycheevalve/daemon/http.py
@@ -13,8 +13,9 @@
 
 from lycheevalve.daemon.accepted import Connections, limit_connections
 from lycheevalve.daemon.boundaries import contain
+from lycheevalve.daemon.listeners import open_listener
 from lycheevalve.logs.queue import record
-from lycheevalve.utils.addresses import format_peer, parse_address
+from lycheevalve.utils.addresses import format_peer
 from lycheevalve.utils.imports import load_module
 
 CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
@@ -53,21 +54,22 @@
     """
     Serves HTTP on one address; `await handle(request)` returns the Response.
 
-    `kind` is the one of accepted.py that limits the connections.
+    `step` names the opening of the address in logs and errors; `kind` is the one of accepted.py
+    that limits the connections.
     """
 
-    def __init__(self, address, handle, kind="http"):
+    def __init__(self, address, handle, step="listen for HTTP", kind="http"):
         self.address = address
+        self.step = step
         self.handle = handle
         self.connections = Connections(kind, limit_connections(kind))
         self.protocol = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled."""
-        host, port = parse_address(self.address)
-        listeners = await trio.open_tcp_listeners(port, host=host)
+        listener = await open_listener(self.step, self.address)
         task_status.started()
-        await trio.serve_listeners(self.serve, listeners)
+        await trio.serve_listeners(self.serve, [listener])
 
     async def serve(self, stream):
         """Serve one connection."""
--- a/lycheevalve/daemon/main.py
+++ b/lycheevalve/daemon/main.py
@@ -8,6 +8,7 @@
 
 from lycheevalve.config.files import read_key
 from lycheevalve.config.instance import changed_options, load_instance_settings
+from lycheevalve.daemon.boundaries import keep_running
 from lycheevalve.daemon.events import Reload, Stop
 from lycheevalve.daemon.instance import InstanceProcess
 from lycheevalve.exceptions import LycheevalveError
@@ -53,8 +54,8 @@
     """Run the process and handle signals until the process has stopped."""
     process = InstanceProcess(settings, key)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch_signals, process, path)
-        nursery.start_soon(writer.run)
+        nursery.start_soon(keep_running, "signals", watch_signals, process, path)
+        nursery.start_soon(keep_running, "log", writer.run)
         await process.run()
         nursery.cancel_scope.cancel()
 
