--- a/lycheevalve/daemon/exposition.py
+++ b/lycheevalve/daemon/exposition.py
@@ -9,6 +9,7 @@
 
 from lycheevalve import __version__
 from lycheevalve.coordination.run_record import REASONS
+from lycheevalve.daemon.accepted import closed
 from lycheevalve.daemon.boundaries import failures
 from lycheevalve.daemon.ends import current_run
 from lycheevalve.daemon.http import Response, Server
@@ -73,6 +74,12 @@
             ("task", "error"),
             failures,
         ),
+        counter(
+            "connections_closed",
+            "Connections closed because a listener had as many as it may keep open.",
+            ("listener", "closed"),
+            closed,
+        ),
     ]
 
 
@@ -97,4 +104,4 @@
         metrics = [*list_process_metrics(), *list_metrics()]
         return Response(200, text.build_text(metrics), text.CONTENT_TYPE)
 
-    return Server(address, handle, "listen for scrapes of metrics")
+    return Server(address, handle, "listen for scrapes of metrics", "metrics")
