Close no connection whose answer is still being sent

What callers saw: with as many connections as a listener may keep open, an answer that a slow peer was still reading was cut off for a new connection. Cause: a connection counted as idle again as soon as its request was handled, before the answer was written. Change: it does when it waits for the peer's next bytes (AcceptedStream).

--- a/lycheevalve/daemon/accepted.py
+++ b/lycheevalve/daemon/accepted.py
@@ -36,13 +36,35 @@
     return max(1, min(MAX_CONNECTIONS, int(available * SHARES[kind])))
 
 
+@attrs.define(eq=False)
+class AcceptedStream:
+    """The stream of a connection; `mark_idle()` is called when it waits for its peer."""
+
+    stream: object
+    mark_idle: object
+
+    @property
+    def socket(self):
+        """Return the socket of the stream."""
+        return self.stream.socket
+
+    async def receive_some(self, max_bytes=None):
+        """Return bytes of the peer."""
+        self.mark_idle()
+        return await self.stream.receive_some(max_bytes)
+
+    async def send_all(self, data):
+        """Send bytes to the peer."""
+        await self.stream.send_all(data)
+
+
 @attrs.define(eq=False)
 class Connections:
     """
     The connections of one listener.
 
-    Idle are those without a request that is being handled. Those on which no request was
-    handled so far are closed first, then the one that is idle longest.
+    Idle are those that wait for a request. Those on which no request was handled so far are
+    closed first, then the one that is idle longest.
     """
 
     kind: str
@@ -57,7 +79,8 @@
         """
         Await `serve(stream, handle)` for a new connection, and close it at the end.
 
-        While `handle` runs for it, the connection is not closed for another one.
+        From a call of `handle` until its answer is sent, the connection is not closed for
+        another one.
         """
         try:
             if self.count >= self.limit and not self.close_idle():
@@ -74,19 +97,22 @@
     async def serve_admitted(self, stream, serve, handle):
         """Serve a connection that is within the limit."""
         number = next(self.numbers)
+        idle = self.unused
 
         async def handle_busy(*args):
-            self.unused.pop(number, None)
-            self.used.pop(number, None)
-            try:
-                return await handle(*args)
-            finally:
-                self.used[number] = scope
+            nonlocal idle
+            idle.pop(number, None)
+            idle = self.used
+            return await handle(*args)
 
         with trio.CancelScope() as scope:
-            self.unused[number] = scope
+
+            def mark_idle():
+                idle[number] = scope
+
+            mark_idle()
             try:
-                await serve(stream, handle_busy)
+                await serve(AcceptedStream(stream, mark_idle), handle_busy)
             finally:
                 self.unused.pop(number, None)
                 self.used.pop(number, None)
