--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -17,12 +17,13 @@
 
 from bench.mutations.coordination import COORDINATION_MUTANTS
 from bench.mutations.flows import FLOW_MUTANTS
+from bench.mutations.inputs import INPUT_MUTANTS
 from bench.mutations.load import LOAD_MUTANTS
 
 ROOT = Path(__file__).parent.parent
 TEST_TIMEOUT_SECONDS = 300
 WORKERS = 4
-MUTANTS = COORDINATION_MUTANTS + FLOW_MUTANTS + LOAD_MUTANTS
+MUTANTS = COORDINATION_MUTANTS + FLOW_MUTANTS + LOAD_MUTANTS + INPUT_MUTANTS
 
 
 def run_mutant(mutant):
--- /dev/null
+++ b/bench/mutations/inputs.py
@@ -0,0 +1,94 @@
+"""Mutants of the checks of input from outside, and of what follows an unreadable one."""
+
+from bench.mutations import Mutant
+
+INPUTS = "test_operator_inputs.py"
+JSON = "test_strict_json.py"
+UNREADABLE = "test_unreadable_configurations.py"
+HTTP = "test_http.py"
+INPUT_MUTANTS = (
+    Mutant(
+        "inputs: registrations that can't be encoded are accepted",
+        "platform/heartbeats.py",
+        "    reason = find_error(registration)\n",
+        '    reason = ""\n',
+        f"{INPUTS}::TestAcknowledged::test_heartbeat",
+    ),
+    Mutant(
+        "inputs: strings with lone surrogates count as encodable",
+        "schema/encodable.py",
+        "    try:\n        value.encode()\n",
+        "    try:\n        pass\n",
+        "test_encodable.py",
+    ),
+    Mutant(
+        "inputs: the items of a list are not checked",
+        "schema/encodable.py",
+        "    reasons = (CHECKS[item_type](item, item_detail) for item in value)\n",
+        "    reasons = ()\n",
+        "test_encodable.py",
+    ),
+    Mutant(
+        "inputs: configurations are accepted without reading their routes",
+        "platform/documents.py",
+        "    read_routes(document.text)\n    return document\n",
+        "    return document\n",
+        f"{JSON}::TestReading",
+    ),
+    Mutant(
+        "inputs: integers of any size are accepted",
+        "platform/documents.py",
+        "    return minimum <= value <= MAX_INTEGER\n",
+        "    return minimum <= value\n",
+        f"{JSON}::TestNumbers",
+    ),
+    Mutant(
+        "inputs: strings and numbers of JSON are not checked",
+        "platform/strict_json.py",
+        "    check_values(value)\n",
+        "",
+        JSON,
+    ),
+    Mutant(
+        "inputs: repeated keys are accepted",
+        "platform/strict_json.py",
+        "    if len(members) < len(pairs):\n",
+        "    if False:\n",
+        JSON,
+    ),
+    Mutant(
+        "inputs: an unknown service beside weighted backends is accepted",
+        "platform/documents.py",
+        '    return services + [backend["service"] for backend in weighted]\n',
+        '    return [backend["service"] for backend in weighted]\n',
+        "test_platform.py::TestConfigurations",
+    ),
+    Mutant(
+        "inputs: an unreadable configuration counts as applied",
+        "coordination/dissemination.py",
+        "            self.applied = earlier\n            self.unreadable_revision",
+        "            self.unreadable_revision",
+        UNREADABLE,
+    ),
+    Mutant(
+        "inputs: an unreadable configuration is tried again and again",
+        "coordination/dissemination.py",
+        "            self.unreadable_revision = self.held.revision\n",
+        "",
+        UNREADABLE,
+    ),
+    Mutant(
+        "inputs: an answer to HEAD has a body",
+        "daemon/http_connection.py",
+        '    if response.body and not (head and head.method == b"HEAD"):\n',
+        "    if response.body:\n",
+        f"{HTTP}::TestHead",
+    ),
+    Mutant(
+        "inputs: an answer may take any time to write",
+        "daemon/http_connection.py",
+        "    with trio.fail_after(WRITE_TIMEOUT_SECONDS):\n",
+        "    with trio.CancelScope():\n",
+        f"{HTTP}::TestBadRequests",
+    ),
+)
--- a/lycheevalve/tests/test_strict_json.py
+++ b/lycheevalve/tests/test_strict_json.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from lycheevalve.exceptions import AnnouncementError, SettingsError
+from lycheevalve.platform import documents
 from lycheevalve.platform.documents import read_document, read_routes
 from lycheevalve.platform.heartbeats import read_heartbeat
 from lycheevalve.platform.strict_json import MAX_NESTING, read_json
@@ -109,6 +110,20 @@
         assert read_heartbeat("i-7", self.insert(build_heartbeat(), text), 770)
 
 
+class TestReading:
+    """The reading of a configuration before it is accepted."""
+
+    def test_configuration_that_instances_cannot_read_is_refused(self, monkeypatch):
+        """A change of what instances read must not outrun the checks of the replicas."""
+
+        def build_routes(value):
+            raise KeyError("a field that instances need")
+
+        monkeypatch.setattr(documents, "build_routes", build_routes)
+        with pytest.raises(SettingsError, match="a field that instances need"):
+            read_document(encode(build_value()))
+
+
 class TestNumbers:
     """Numbers of routes that instances can't calculate with."""
 
