Give the address of a heartbeat one spelling

What operators could see: an upstream whose heartbeats spell its port 8080 and 08080 in turn was found in some tables of an instance and not in others. In a trial with two replicas and two instances in memory, all four found it under the first spelling only. No process ended.

Cause: the address is parsed for some tables, and its text is the key of others.

Evidence: two cases of the new test failed before ("assert '10.128.0.9:08080' == '10.128.0.9:8080'").

Change: a registration has the address as it is formatted after parsing.

--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -4,7 +4,7 @@
 from lycheevalve.platform.strict_json import read_json
 from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Registration
-from lycheevalve.utils.addresses import parse_address
+from lycheevalve.utils.addresses import format_address, parse_address
 
 STEP = "read heartbeat"
 STATES = ("ready", "draining")
@@ -30,7 +30,8 @@
         raise AnnouncementError(f"state must be ready or draining, not {state!r}", STEP, name)
     address = read_string(value, "address", name)
     try:
-        parse_address(address)
+        # One spelling, since parts of an instance find upstreams by the text.
+        address = format_address(parse_address(address))
     except ValueError as error:
         raise AnnouncementError(str(error), STEP, name) from error
     registration = Registration(
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -278,6 +278,12 @@
         with pytest.raises(AnnouncementError):
             read_heartbeat("i-7", build_heartbeat(**changes), 770)
 
+    @pytest.mark.parametrize("port", ["8080", "08080", "８０８０"])
+    def test_address_has_one_spelling(self, port):
+        """Two spellings counted as one upstream in some tables and as two in others."""
+        body = build_heartbeat(address=f"10.128.0.9:{port}")
+        assert read_heartbeat("i-7", body, 770).address == "10.128.0.9:8080"
+
     def test_largest_values_are_read(self):
         """The limits must not refuse what can be encoded."""
         body = build_heartbeat(slots=2**31 - 1, warmupLeftMs=2**31 - 1, service="s" * 255)
