Open a polling connection again when a poll is answered with a failure

What callers saw, in a trial with real processes: after one poll that the control replica could not handle (an error in its handler, or its 0.85 s for an answer were over), the entry instance got no configuration any more; 25 s later three versions were acknowledged and none of them in force there, while the connection stayed open and the instance answered that it is ready.

Cause: a link answers such a message with a Failure. The instance took it for the answer to its poll, but a poll counts as in flight until News arrives, so that no other was ever sent. A Failure of the leader was likewise taken for its result, an AttributeError in ask_leader.

An exchange that gets a Failure now fails like one without an answer: the connection is opened again and polled from the start, and a call to the leader is repeated.

test_failure_to_handle_a_poll_fails_its_connection failed before (DID NOT RAISE), and so did the recovery of the replica after errors in handle_poll and flush (the condition did not hold within 25 s); both pass now.

--- a/lycheevalve/daemon/polling.py
+++ b/lycheevalve/daemon/polling.py
@@ -17,6 +17,7 @@
 from lycheevalve.daemon.links import LINK_ERRORS, open_connection
 from lycheevalve.exceptions import UnavailableError
 from lycheevalve.logs.queue import record
+from lycheevalve.schema.generated.messages import Failure
 
 # A poll is answered after LONG_POLL_SECONDS at the latest; a connection without an answer for
 # this long is considered broken.
@@ -128,10 +129,17 @@
 
 
 async def exchange(connection, message, peer, seconds=ANSWER_TIMEOUT_SECONDS):
-    """Send a message and return the answer; raise UnavailableError at the timeout."""
+    """
+    Send a message and return the answer; raise UnavailableError at the timeout.
+
+    It is also raised for a Failure: the peer could not handle the message, and what follows
+    an answer would not happen.
+    """
     with trio.move_on_after(seconds):
         await connection.send(message)
         _, answer = await connection.receive()
+        if isinstance(answer, Failure):
+            raise UnavailableError(answer.reason, answer.step, answer.peer or peer)
         return answer
     raise UnavailableError("the peer did not answer in time", "exchange", peer)
 
--- a/lycheevalve/tests/test_polling.py
+++ b/lycheevalve/tests/test_polling.py
@@ -1,10 +1,12 @@
 """Polling connections: how soon a control replica that is up again is reconnected."""
 
+import pytest
 import trio
 import trio.testing
 
 from lycheevalve.daemon import polling
 from lycheevalve.exceptions import UnavailableError
+from lycheevalve.schema.generated.messages import Failure, News, Poll
 
 ADDRESS = "10.0.0.1:7000"
 # A replica imports its modules, starts and elects a leader in less time than this, so a
@@ -62,3 +64,32 @@
         late = [at for at in run(machine, 20.0) if at >= 10.0]
         assert early >= 3
         assert len(late) <= 10.0 / (polling.MAX_BACKOFF_SECONDS / 2)
+
+
+class AnsweringConnection:
+    """A connection on which each message gets the same answer."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def send(self, message):
+        """Accept a message."""
+
+    async def receive(self):
+        """Return the header, which is not used, and the answer."""
+        return None, self.answer
+
+
+class TestAnswers:
+    """Answers of a control replica."""
+
+    # The instance took the failure for the answer to its poll, and sent no other: it got no
+    # configuration any more while the connection lasted.
+    def test_failure_to_handle_a_poll_fails_its_connection(self):
+        failure = AnsweringConnection(Failure("ask", "", "did not answer in time"))
+        with pytest.raises(UnavailableError, match="did not answer in time"):
+            trio.run(polling.exchange, failure, Poll(), ADDRESS)
+
+    def test_answer_is_returned(self):
+        answered = AnsweringConnection(News())
+        assert trio.run(polling.exchange, answered, Poll(), ADDRESS) == News()
