--- a/lycheevalve/daemon/http_connection.py
+++ b/lycheevalve/daemon/http_connection.py
@@ -12,8 +12,10 @@
 READ_BYTES = 65_536
 # The whole body must arrive within this time after the head.
 REQUEST_TIMEOUT_SECONDS = 5.0
-# A connection is closed when no request arrives, or an answer isn't read, within this time.
+# A connection is closed when no request arrives within this time.
 IDLE_TIMEOUT_SECONDS = 30.0
+# A connection whose peer does not read an answer is closed after this time.
+WRITE_TIMEOUT_SECONDS = 30.0
 
 
 async def serve_requests(stream, peer, handle):
@@ -22,8 +24,8 @@
     try:
         while await serve_request(connection, stream, peer, handle):
             connection.start_next_cycle()
-    except h11.LocalProtocolError as error:
-        record("answer_failed", peer=peer, reason=str(error))
+    except (h11.LocalProtocolError, trio.TooSlowError) as error:
+        record("answer_failed", peer=peer, reason=repr(error))
 
 
 async def serve_request(connection, stream, peer, handle):
@@ -129,7 +131,5 @@
     if response.body and not (head and head.method == b"HEAD"):
         data += connection.send(h11.Data(data=response.body))
     data += connection.send(h11.EndOfMessage())
-    with trio.move_on_after(IDLE_TIMEOUT_SECONDS) as scope:
+    with trio.fail_after(WRITE_TIMEOUT_SECONDS):
         await stream.send_all(data)
-    if scope.cancelled_caught:
-        raise trio.BrokenResourceError("the answer was not read in time")
--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -21,6 +21,7 @@
     keep_serving,
     report_failure,
 )
+from lycheevalve.daemon.ends import record_start
 from lycheevalve.daemon.links import Links, make_codec_factory, serve_links
 from lycheevalve.daemon.listeners import open_receiver
 from lycheevalve.daemon.metrics import StatsdMetrics
@@ -59,6 +60,7 @@
         self.metrics = StatsdMetrics(settings.statsd, settings.name)
         self.view = events.ReplicaView()
         self.inbox, self.receiver = trio.open_memory_channel(INBOX_EVENTS)
+        self.started = trio.Event()
         self.replica_inbox = None
         self.instance = None
         self.udp_socket = None
@@ -94,6 +96,8 @@
             record(
                 "started", role="instance", address=self.settings.address, version=__version__
             )
+            self.started.set()
+            nursery.start_soon(keep_running, "run record", record_start)
             task_status.started(self)
             await self.run_instance()
             nursery.cancel_scope.cancel()
--- a/lycheevalve/logs/process_ends.py
+++ b/lycheevalve/logs/process_ends.py
@@ -23,6 +23,8 @@
 # The last lines of a text that is no event.
 MAX_TEXT_LINES = 60
 LAST_EVENTS = ("stopped", "ended")
+# Events that a process may log after them.
+TRAILING_EVENTS = ("left_out", "run_not_recorded")
 # Events that may have caused an end, besides those of level WARNING and above.
 CAUSE_EVENTS = frozenset(
     (*(event.name for event in OPERATOR_EVENTS), "reloaded", "in_force", "leaving")
@@ -53,8 +55,10 @@
 
     def begins_another(self, line):
         """Return whether a line belongs to a later run of the instance."""
-        if self.find(*LAST_EVENTS) is not None or line.event == "starting":
+        if line.event == "starting":
             return bool(self.lines)
+        if self.find(*LAST_EVENTS) is not None:
+            return line.event not in TRAILING_EVENTS
         return line.event == "started" and self.find("started") is not None
 
     @property
@@ -62,11 +66,6 @@
         """Return the time of the last line; 0 without any."""
         return self.lines[-1].at if self.lines else 0.0
 
-    def error_text(self):
-        """Return the last error in the texts, or their last line; empty without texts."""
-        errors = [match[1] for text in self.texts if (match := ERROR_TEXT.search(text))]
-        return errors[-1] if errors else "".join(self.texts[-1:]).strip()
-
 
 @attrs.define
 class EndsReport:
@@ -79,6 +78,12 @@
     missing: list
 
 
+def find_error(texts):
+    """Return the last error in lines of text, or the last line; empty without lines."""
+    errors = [match[1] for text in texts if (match := ERROR_TEXT.search(text))]
+    return errors[-1] if errors else "".join(texts[-1:]).strip()
+
+
 def split_runs(logs):
     """Return the ProcessRuns of parsed logs, in the order of their first lines."""
     runs = [run for name, lines in logs.files.items() for run in split_file(name, lines)]
@@ -173,10 +178,10 @@
 
 def describe_run(run, lines):
     """Return the findings about the failed tasks and the end of a run as (time, text)."""
-    findings = describe_failed_tasks(run)
+    findings = describe_failed_tasks(run) + describe_addresses(run)
     at = run.last_at
     prefix = f"{format_time(at)} {run.instance}"
-    ended, text = run.find("ended"), run.error_text()
+    ended, text = run.find("ended"), find_error(run.texts)
     recorded = run.successor.find("previous_end") if run.successor else None
     reason = recorded.fields.get("reason") if recorded else ""
     if ended:
@@ -230,6 +235,17 @@
     ]
 
 
+def describe_addresses(run):
+    """Return the finding about an address that a process still waited for at its last line."""
+    line = run.find("address_unavailable", "address_available")
+    if line is None or line.event == "address_available":
+        return []
+    address, step, reason = (line.fields.get(k, "") for k in ("address", "step", "reason"))
+    text = f"{run.instance} waits for {address} ({step}): {reason}"
+    seconds = line.fields.get("waited_ms", 0) / 1000
+    return [(line.at, f"{format_time(line.at)} {text}, for {seconds:.1f} s")]
+
+
 def describe_common_ends(runs):
     """Return findings about instances that ended at the same time without last lines."""
     lost = sorted(
@@ -256,9 +272,10 @@
     instances = {find_address(run): run.instance for run in runs}
     first, counts = {}, collections.Counter()
     for line in lines:
-        if line.event == "instance_restarted" and line.fields["peer"] not in instances:
-            first.setdefault(line.fields["peer"], line.at)
-            counts[line.fields["peer"], line.instance] += 1
+        peer = line.fields.get("peer")
+        if line.event == "instance_restarted" and peer and peer not in instances:
+            first.setdefault(peer, line.at)
+            counts[peer, line.instance] += 1
     return [
         (
             at,
