Keep fewer expired upstreams when very many are announced

An announcement costs a replica and each entry instance 1.8 KB, and expired upstreams are kept for two hours: in a trial, 42 000 heartbeats of different targets from one client took a control replica from 33 to 112 MB and the entry instance to 99 MB within 104 s, on the way to the limit of the process. Names of services were kept for good.

Beyond 4096 expired upstreams, those that expired first are evicted. Upstreams with valid leases are not limited: a lease of five heartbeats bounds them.

--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -18,6 +18,9 @@
 # An upstream whose lease expired serves until this long after its last answer.
 ANSWER_GRACE_SECONDS = 1.0
 EXPIRED_RETENTION_SECONDS = 7200.0
+# Beyond this many, those that expired first are evicted sooner: anyone who reaches a replica
+# may announce upstreams.
+MAX_EXPIRED_UPSTREAMS = 4096
 # A deregistered upstream serves this long, until it has its acknowledgement and exits.
 DEREGISTRATION_GRACE_SECONDS = 1.0
 # After the evacuation of a data centre is withdrawn, its upstreams count as cold until each
@@ -271,14 +274,28 @@
         return frozenset(u.index for u in upstreams if u.state(now) is UpstreamState.UP)
 
     def evict_expired(self, now):
-        """Evict upstreams without flows whose lease expired long ago."""
-        for upstream in list(self.by_index.values()):
-            expired = now - upstream.expires_at > EXPIRED_RETENTION_SECONDS
-            if not expired or upstream.flows:
-                continue
-            del self.by_index[upstream.index]
-            self.by_service[upstream.service].remove(upstream)
-            registration = upstream.registration
-            self.by_identity.pop((registration.address, registration.incarnation), None)
-            if self.by_address.get(upstream.address) is upstream:
-                del self.by_address[upstream.address]
+        """Evict upstreams without flows that expired long ago, or first of too many."""
+        expired = [
+            upstream
+            for upstream in self.by_index.values()
+            if now - upstream.expires_at > MAX_TRANSIT_SECONDS and not upstream.flows
+        ]
+        expired.sort(key=lambda upstream: upstream.expires_at)
+        excess = len(expired) - MAX_EXPIRED_UPSTREAMS
+        for position, upstream in enumerate(expired):
+            is_old = now - upstream.expires_at > EXPIRED_RETENTION_SECONDS
+            if position >= excess and not is_old:
+                break
+            self.evict(upstream)
+
+    def evict(self, upstream):
+        """Remove an upstream from the table."""
+        del self.by_index[upstream.index]
+        of_service = self.by_service[upstream.service]
+        of_service.remove(upstream)
+        if not of_service:
+            del self.by_service[upstream.service]
+        registration = upstream.registration
+        self.by_identity.pop((registration.address, registration.incarnation), None)
+        if self.by_address.get(upstream.address) is upstream:
+            del self.by_address[upstream.address]
--- a/lycheevalve/tests/test_resources.py
+++ b/lycheevalve/tests/test_resources.py
@@ -17,6 +17,9 @@
 from lycheevalve.daemon.datagrams import BATCH_BYTES, BATCH_DATAGRAMS, read_datagrams
 from lycheevalve.daemon.http import Request, Response
 from lycheevalve.exceptions import UnavailableError
+from lycheevalve.flows import upstreams as upstream_table
+from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
 
 DESCRIPTORS = 64
@@ -339,3 +342,30 @@
     def test_bytes_of_a_batch_are_limited(self):
         batch, _ = read_datagrams(FakeSocket(bytes(65_000)))
         assert BATCH_BYTES <= sum(len(data) for data, _ in batch) < BATCH_BYTES + 65_536
+
+
+class TestUpstreams:
+    """The table of upstreams when many are announced, each once."""
+
+    # Sixty thousand announced addresses took 107 MB in a replica for two hours.
+    def test_number_of_expired_upstreams_is_limited(self, monkeypatch):
+        monkeypatch.setattr(upstream_table, "MAX_EXPIRED_UPSTREAMS", 10)
+        table = Upstreams()
+
+        def announce(number, now):
+            address = f"10.0.{number >> 8}.{number & 255}:9000"
+            registration = Registration(f"s{number}", address, "dc1", lifetime_ms=1000)
+            assert table.update(registration, now)
+
+        for number in range(100):
+            announce(number, number / 100)
+        table.evict_expired(1.5)
+        assert len(table.by_index) == 100
+        announce(100, 5.0)
+        table.evict_expired(5.0)
+        kept = [f"s{number}" for number in range(90, 101)]
+        assert [upstream.service for upstream in table.by_index.values()] == kept
+        assert set(table.by_service) == set(kept)
+        assert len(table.by_address) == len(table.by_identity) == 11
+        table.evict_expired(5.0 + upstream_table.EXPIRED_RETENTION_SECONDS)
+        assert len(table.by_index) == 1
