Refuse large heartbeats before they are read, and use all stored upstreams that can be used

One stored registration that can't be used lost those stored after it at the start of a replica; each is now a unit of its own.

test_answer_that_is_not_read_is_given_up expected the error of an earlier form of the time limit; it now expects that the connection ends within WRITE_TIMEOUT_SECONDS and logs `answer_failed`.

--- a/lycheevalve/daemon/upstream_store.py
+++ b/lycheevalve/daemon/upstream_store.py
@@ -8,6 +8,7 @@
     write_lookup_table,
     write_upstream_cache,
 )
+from lycheevalve.daemon.boundaries import contain
 from lycheevalve.exceptions import StorageError
 from lycheevalve.logs.queue import record
 
@@ -33,7 +34,8 @@
             return
         now = trio.current_time()
         for registration in registrations:
-            self.logic.apply_registration(registration, now)
+            with contain("stored upstream"):
+                self.logic.apply_registration(registration, now)
         record("upstreams_recalled", upstreams=len(registrations))
 
     async def run(self):
--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -14,11 +14,16 @@
 # The registrations of all targets are sent in one message, whose size is limited, and an
 # answer to a lookup holds as many bytes of a name.
 MAX_TEXT_LENGTH = 255
+# JSON takes many times as much memory once it is read.
+MAX_HEARTBEAT_BYTES = 64 * 1024
 
 
 def read_heartbeat(name, body, heartbeat_ms):
     """Return the Registration of a heartbeat; raise AnnouncementError when it is invalid."""
     check_name(name)
+    if len(body) > MAX_HEARTBEAT_BYTES:
+        reason = f"a heartbeat of {len(body)} bytes exceeds {MAX_HEARTBEAT_BYTES}"
+        raise AnnouncementError(reason, STEP, name)
     try:
         value = read_json(body)
     except ValueError as error:
--- a/lycheevalve/tests/test_resources.py
+++ b/lycheevalve/tests/test_resources.py
@@ -16,9 +16,12 @@
 from lycheevalve.daemon.buffers import SMALL_MESSAGE_BYTES, Buffers
 from lycheevalve.daemon.datagrams import BATCH_BYTES, BATCH_DATAGRAMS, read_datagrams
 from lycheevalve.daemon.http import Request, Response
-from lycheevalve.exceptions import UnavailableError
+from lycheevalve.exceptions import AnnouncementError, UnavailableError
 from lycheevalve.flows import upstreams as upstream_table
 from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.logs.queue import queue
+from lycheevalve.platform import heartbeats
+from lycheevalve.platform.heartbeats import read_heartbeat
 from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
 
@@ -299,13 +302,16 @@
 
         async def main():
             stream, client = trio.testing.lockstep_stream_pair()
+            begun = trio.current_time()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(client.send_all, GET)
-                with pytest.raises(trio.BrokenResourceError, match="not read in time"):
-                    await http_connection.serve_requests(stream, "10.0.0.1:5", handle)
+                await http_connection.serve_requests(stream, "10.0.0.1:5", handle)
+                assert trio.current_time() - begun <= http_connection.WRITE_TIMEOUT_SECONDS
 
+        queue.records.clear()
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         assert small_buffers.used == 0
+        assert queue.records[-1][1].name == "answer_failed"
 
 
 class FakeSocket:
@@ -369,3 +375,9 @@
         assert len(table.by_address) == len(table.by_identity) == 11
         table.evict_expired(5.0 + upstream_table.EXPIRED_RETENTION_SECONDS)
         assert len(table.by_index) == 1
+
+    # A heartbeat of 4 MB with many empty lists took 110 MB while it was read.
+    def test_large_heartbeat_is_refused_before_it_is_read(self, monkeypatch):
+        monkeypatch.setattr(heartbeats, "read_json", lambda body: pytest.fail("was read"))
+        with pytest.raises(AnnouncementError, match="exceeds"):
+            read_heartbeat("i-1", b"[" + b"[]," * 30_000 + b"1]", 500)
--- a/lycheevalve/tests/test_storage.py
+++ b/lycheevalve/tests/test_storage.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import pytest
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -18,8 +19,15 @@
     read_upstream_cache,
     write_upstream_cache,
 )
+from lycheevalve.daemon.upstream_store import UpstreamStore
 from lycheevalve.exceptions import StorageError
-from lycheevalve.schema.generated.messages import Configuration, Entry, HardState, Snapshot
+from lycheevalve.schema.generated.messages import (
+    Configuration,
+    Entry,
+    HardState,
+    Registration,
+    Snapshot,
+)
 from lycheevalve.tests.fakes.entry import build_registration
 from lycheevalve.tests.fakes.replicas import build_change
 
@@ -290,3 +298,31 @@
         stored = Storage(tmp_path).load()
         assert stored.damage == ""
         assert [entry.index for entry in stored.entries] == [4]
+
+
+class StoredUpstreams:
+    """The logic of a replica that can't use one of the stored registrations."""
+
+    def __init__(self):
+        self.applied = []
+
+    def apply_registration(self, registration, now):
+        """Keep a registration; fail for one with an address that is none."""
+        if registration.address == "damaged":
+            raise ValueError("not an address")
+        self.applied.append(registration.name)
+
+
+class TestUpstreamStore:
+    """The stored upstreams at the start of a replica."""
+
+    # One registration that can't be used lost all that were stored after it.
+    def test_unusable_registration_loses_no_other(self, tmp_path):
+        registrations = [
+            Registration("s1", address, "dc1", name=name)
+            for name, address in (("u1", "10.0.0.1:1"), ("u2", "damaged"), ("u3", "10.0.0.3:1"))
+        ]
+        upstream_cache.write_upstream_cache(tmp_path, registrations)
+        logic = StoredUpstreams()
+        trio.run(UpstreamStore(tmp_path, logic, b"key").load)
+        assert logic.applied == ["u1", "u3"]
