Keep an instance running when its start can't be recorded

The task of the run record was started without a boundary in lycheevalved only; an error other than OSError, such as no new thread, ended the process. The test fails before.

--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -95,7 +95,7 @@
             record(
                 "started", role="instance", address=self.settings.address, version=__version__
             )
-            nursery.start_soon(record_start)
+            nursery.start_soon(keep_running, "run record", record_start)
             task_status.started(self)
             await self.run_instance()
             nursery.cancel_scope.cancel()
