Apply an evacuation again after it could not be applied

What callers saw: an order to evacuate whose application failed once never took effect, while its number was reported as applied. Cause: the number was stored before the order was applied, so the next update with the same order changed nothing; before errors were contained, the process ended and started anew. Change: the earlier orders are restored after an error. Measured: test_evacuation_errors.py failed before and passes.

--- a/lycheevalve/coordination/evacuations.py
+++ b/lycheevalve/coordination/evacuations.py
@@ -47,6 +47,11 @@
         """Apply evacuations unless the same or newer ones are in force; return whether new."""
         if evacuations is None or evacuations.number <= self.number:
             return False
-        self.evacuations = evacuations
-        self.apply(evacuations.data_centres, now)
+        earlier, self.evacuations = self.evacuations, evacuations
+        try:
+            self.apply(evacuations.data_centres, now)
+        except Exception:
+            # The next update has the same order, which is applied then.
+            self.evacuations = earlier
+            raise
         return True
