Read packets though those held during the start could not be handled

What callers saw: an instance that answered readiness with 200 and forwarded nothing. Cause: an error of a held packet left take_over before the task that reads the packet socket was started, and the early thread had ended. Change: the held packets are a unit of their own. Measured: test_take_over.py failed before and passes.

--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lycheevalve.daemon.boundaries import keep_running, keep_serving, report_failure
+from lycheevalve.daemon.boundaries import contain, keep_running, keep_serving, report_failure
 from lycheevalve.daemon.events import Batch
 from lycheevalve.daemon.exposition import Metric, count_upstreams, counter, gauge
 from lycheevalve.daemon.http import Response, Server
@@ -133,8 +133,9 @@
             lookups=router.lookups,
             error=early.thread.error,
         )
-        packets = [(self.codec.read_packet(data), now - seconds) for seconds, data in held]
-        self.logic.take_over(packets, router.revision, now)
+        with contain("held packets"):
+            packets = [(self.codec.read_packet(data), now - seconds) for seconds, data in held]
+            self.logic.take_over(packets, router.revision, now)
         self.start_sockets()
 
     async def answer_probe(self, request):
