Request an update again when it could not be handled

What callers saw: upstreams of an update that failed stayed unknown, or kept getting new flows while they drained. Cause: the version of the update was stored before its registrations were applied, so the poll on the new connection asked for later updates only. Change: after an error the next poll asks for all of them.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -299,17 +299,8 @@
         if sender not in self.subscriptions.sources:
             return
         if isinstance(message, messages.News):
-            self.subscriptions.handle_news(sender, message, now)
-            self.subscriptions.choose_active(now)
-            for registration in message.registrations:
-                self.apply_registration(registration, now, sender)
-            self.evacuations.adopt(message.evacuations, now)
-            if message.data_centre == self.data_centre:
-                self.checks.adopt(sender, message.unreachable or ())
-            self.feed.settled = self.feed.settled or message.settled
-            self.dissemination.update_peer(
-                sender, message.applied, message.held, now, message.current
-            )
+            with self.subscriptions.handling(sender):
+                self.handle_news(sender, message, now)
         elif isinstance(message, messages.Fetched):
             self.dissemination.handle_fetched(sender, message, now)
         self.answer_pending(now)
@@ -317,6 +308,18 @@
             # While a fetch is queued, the next poll follows the answer to it.
             self.send(sender, self.build_poll(sender))
 
+    def handle_news(self, sender, news, now):
+        """Handle the updates of another replica."""
+        self.subscriptions.handle_news(sender, news, now)
+        self.subscriptions.choose_active(now)
+        for registration in news.registrations:
+            self.apply_registration(registration, now, sender)
+        self.evacuations.adopt(news.evacuations, now)
+        if news.data_centre == self.data_centre:
+            self.checks.adopt(sender, news.unreachable or ())
+        self.feed.settled = self.feed.settled or news.settled
+        self.dissemination.update_peer(sender, news.applied, news.held, now, news.current)
+
     def handle_commit(self, configuration, changes, now):
         """Handle a configuration that the replica of the log has committed."""
         self.evacuations.adopt(get_evacuations(configuration), now)
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -10,6 +10,8 @@
 of the two does not answer or is not up to date.
 """
 
+import contextlib
+
 import attrs
 import xxhash
 
@@ -201,6 +203,19 @@
             unreachable_known=source.unreachable_number + 1,
         )
 
+    @contextlib.contextmanager
+    def handling(self, address):
+        """Handle an update in the block; after an error, the next poll requests all of it."""
+        try:
+            yield
+        except Exception:
+            source = self.sources.get(address)
+            if source is not None:
+                source.feed = source.version = source.reported_revision = 0
+                source.unreachable_number = 0
+                source.leases = {}
+            raise
+
     def handle_news(self, address, news, now):
         """Handle a source's update: its state and the addresses it lists."""
         source = self.sources.get(address)
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -309,7 +309,8 @@
         if sender not in self.subscriptions.active():
             return
         if isinstance(message, messages.News):
-            self.handle_updates(sender, message, now)
+            with self.subscriptions.handling(sender):
+                self.handle_updates(sender, message, now)
         elif isinstance(message, messages.Fetched):
             self.dissemination.handle_fetched(sender, message, now)
         if all(name != sender for name, _ in self.messages):
