Close a link on which nothing arrives

What operators saw: descriptors in use for good after each loss of power of a peer, until none was free. Cause: the accepting side waited for the next message without a limit; only the opening side checks that a link is alive. Change: it closes a link without a message for 15 s. Measured: test_silent_links.py failed before and passes.

--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -30,6 +30,9 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 LINK_TIMEOUT_SECONDS = 2.0
+# The opening side sends a message, a poll or a heartbeat more often; the accepting side closes
+# a link without any, as that of a machine without power.
+SILENCE_TIMEOUT_SECONDS = 15.0
 QUEUE_MESSAGES = 256
 # Errors that close one link and affect nothing else.
 LINK_ERRORS = (
@@ -228,7 +231,8 @@
     await connection.send(Greeting(nonce))
     connection.nonce = nonce
     while True:
-        header, message = await connection.receive()
+        with trio.fail_after(SILENCE_TIMEOUT_SECONDS):
+            header, message = await connection.receive()
         if isinstance(message, Greeting):
             await connection.send(Greeting())
             continue
