End a process whose data folder does not answer

What operators saw: a process with a hanging disk that ignored SIGTERM until it was killed. Cause: the record of the end was written without a limit on the time. Change: a thread writes it, which the process does not wait for longer than a second.

--- a/lycheevalve/daemon/ends.py
+++ b/lycheevalve/daemon/ends.py
@@ -7,8 +7,10 @@
 
 import faulthandler
 import os
+import queue
 import signal
 import sys
+import threading
 import time
 import traceback
 from pathlib import Path
@@ -43,6 +45,8 @@
 EXPLAINED_ERRORS = (LycheevalveError, KeyboardInterrupt)
 # A record that can't be written, as on a full disk, is tried again after this time.
 RETRY_INTERVAL_SECONDS = 5.0
+# How long the end of the process waits for its record.
+RECORD_TIMEOUT_SECONDS = 1.0
 MAX_ERROR_CHARACTERS = 1000
 
 
@@ -152,7 +156,10 @@
     current_run.step = "run"
     while current_run.folder is not None:
         try:
-            previous = await trio.to_thread.run_sync(current_run.record_state, RUNNING, {})
+            # A stop of the process does not wait for the folder.
+            previous = await trio.to_thread.run_sync(
+                current_run.record_state, RUNNING, {}, abandon_on_cancel=True
+            )
         except OSError as error:
             record("run_not_recorded", reason=str(error))
             await trio.sleep(RETRY_INTERVAL_SECONDS)
@@ -162,13 +169,29 @@
 
 
 def record_end(reason, details):
-    """Record the end of this run in the data folder; a failure is logged."""
+    """
+    Record the end of this run in the data folder; a failure is logged.
+
+    A folder that does not answer is left as it is: the thread ends with the process.
+    """
     if current_run.folder is None:
         return
+    results = queue.SimpleQueue()
+
+    def write():
+        try:
+            results.put((current_run.record_state(reason, details), None))
+        except Exception as error:
+            results.put((None, error))
+
     try:
-        log_previous_end(current_run.record_state(reason, details))
-    except OSError as error:
-        record("run_not_recorded", reason=str(error))
+        threading.Thread(target=write, daemon=True).start()
+        previous, error = results.get(timeout=RECORD_TIMEOUT_SECONDS)
+    except (queue.Empty, RuntimeError) as caught:
+        previous, error = None, caught
+    if error is not None:
+        record("run_not_recorded", reason=repr(error))
+    log_previous_end(previous)
 
 
 def log_previous_end(previous):
