Rewrite the log after any failure, and hand over after a stall of the disk

What operators saw, in tests: after a failed write and a failed close the log was read from the page cache and trusted, and a planned stop during a stall of the disk left the others to their election timeout. Cause: the error of close() ended the task, which started anew as if nothing had failed; a Stop was dropped while queries were refused. Change: the task keeps that it has failed, an error of close() is contained, and a stop is handled once the disk answers.

--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -80,27 +80,29 @@
         self.leader = ""
         # Whether the process resumed after a pause while the replica was stopped.
         self.is_resumed = False
+        # Whether the process began to stop while the replica was stopped.
+        self.is_stopping = False
+        # What was written before a failure may not have reached the disk.
+        self.has_failed = False
         self.inbox = None
         self.view = None
 
     async def run(self, inbox):
         """Run the replica until its inbox is closed; after an error start it again."""
         self.inbox = inbox
-        failed = False
         with contextlib.suppress(trio.EndOfChannel):
             while True:
-                reason = await self.run_until_failure(failed)
-                failed = True
+                reason = await self.run_until_failure()
                 with contain("abdicate"):
                     self.abdicate()
                 await self.refuse_until_retry(reason)
 
-    async def run_until_failure(self, failed):
+    async def run_until_failure(self):
         """Load the replica from its files and run it until an error; return its reason."""
         self.replica = None
         self.storage = Storage(self.folder)
         try:
-            await self.run_from_files(failed)
+            await self.run_from_files(self.has_failed)
         except StorageError as error:
             return str(error)
         except trio.EndOfChannel:
@@ -109,7 +111,9 @@
             report_failure("replica", error)
             return repr(error)
         finally:
-            self.storage.close()
+            self.has_failed = True
+            with contain("close log"):
+                self.storage.close()
 
     async def run_from_files(self, failed):
         """Load the replica from its files and run it."""
@@ -145,11 +149,19 @@
             nursery.cancel_scope.cancel()
         if error is not None:
             raise error
-        if self.is_resumed and self.replica is not None:
-            self.is_resumed = False
-            consensus.handle_resume(self.replica, trio.current_time())
+        if self.replica is not None:
+            self.handle_deferred(trio.current_time())
         return result
 
+    def handle_deferred(self, now):
+        """Handle what the owner reported while the replica was stopped."""
+        if self.is_resumed:
+            self.is_resumed = False
+            consensus.handle_resume(self.replica, now)
+        if self.is_stopping:
+            self.is_stopping = False
+            consensus.transfer_leadership(self.replica, now)
+
     async def refuse_while_stalled(self):
         """Refuse queries once the disk has taken too long, until cancelled."""
         await trio.sleep(STALL_SECONDS)
@@ -361,6 +373,8 @@
                 self.set_learners(event.names)
             elif isinstance(event, Resumed):
                 self.is_resumed = True
+            elif isinstance(event, Stop):
+                self.is_stopping = True
             elif isinstance(event, Received) and isinstance(event.message, LEADER_MESSAGES):
                 self.leader = event.sender
 
--- a/lycheevalve/tests/test_replica_restarts.py
+++ b/lycheevalve/tests/test_replica_restarts.py
@@ -5,7 +5,7 @@
 
 from lycheevalve.coordination import storage
 from lycheevalve.daemon.boundaries import keep_running
-from lycheevalve.tests import test_replica_task
+from lycheevalve.tests.fakes import replica_task
 from lycheevalve.tests.fakes.replicas import build_document
 
 
@@ -14,7 +14,7 @@
 
     # keep_running started the task anew, which then trusted what it read from the page cache.
     def test_log_is_rewritten_after_a_write_and_the_close_failed(self, tmp_path, monkeypatch):
-        disk = test_replica_task.FakeDisk(monkeypatch, errno.EIO)
+        disk = replica_task.FakeDisk(monkeypatch, errno.EIO)
         rewrites = []
         close, load = storage.Storage.close, storage.Storage.load
 
@@ -29,12 +29,12 @@
 
         monkeypatch.setattr(storage.Storage, "close", fail_to_close)
         monkeypatch.setattr(storage.Storage, "load", observe_load)
-        run_task = test_replica_task.ReplicaTask.run
+        run_task = replica_task.ReplicaTask.run
 
         async def keep_task_running(self, inbox):
             await keep_running("replica", run_task, self, inbox)
 
-        monkeypatch.setattr(test_replica_task.ReplicaTask, "run", keep_task_running)
+        monkeypatch.setattr(replica_task.ReplicaTask, "run", keep_task_running)
 
         async def scenario(harness):
             await harness.accept(5)
@@ -43,6 +43,6 @@
             disk.full = False
             await harness.accept(7)
 
-        test_replica_task.run(tmp_path, scenario)
+        replica_task.run(tmp_path, scenario)
         assert rewrites[0] is False
         assert all(rewrites[1:]), rewrites
--- a/lycheevalve/tests/test_stalled_stop.py
+++ b/lycheevalve/tests/test_stalled_stop.py
@@ -9,10 +9,10 @@
 from lycheevalve.daemon.events import Query, ReplicaView, Stop
 from lycheevalve.daemon.replica_task import STALL_SECONDS
 from lycheevalve.schema.generated.messages import Abdicate
-from lycheevalve.tests import test_replica_task
+from lycheevalve.tests.fakes import replica_task
 from lycheevalve.tests.fakes.replicas import build_document
 
-FOLLOWER = test_replica_task.LEADER
+FOLLOWER = replica_task.LEADER
 
 
 class TestStop:
@@ -42,4 +42,4 @@
             await trio.sleep(0.3)
             assert any(isinstance(message, Abdicate) for _, message in harness.sent)
 
-        test_replica_task.run(tmp_path, scenario, others=[FOLLOWER], in_thread=True)
+        replica_task.run(tmp_path, scenario, others=[FOLLOWER], in_thread=True)
