Wait for queued signals at the end of a test of SIGHUP

The test stopped while the last of its signals was queued, which trio then passes to the previous handler: it counted as not handled. The task is also given the scope that it cancels since a stop during the start ends the process. The assertion is unchanged; it passes.

--- a/lycheevalve/tests/test_daemon_reload.py
+++ b/lycheevalve/tests/test_daemon_reload.py
@@ -26,11 +26,18 @@
             with trio.move_on_after(2 * MAX_RESTART_SECONDS):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(
-                        keep_running, "signals", main.watch_signals, None, "a.toml"
+                        keep_running,
+                        "signals",
+                        main.watch_signals,
+                        None,
+                        "a.toml",
+                        nursery.cancel_scope,
                     )
                     for _ in range(6):
                         await trio.sleep(0.02)
                         os.kill(os.getpid(), signal.SIGHUP)
+                    # A signal that is still queued at the end would reach the previous handler.
+                    await trio.sleep(0.1)
                     nursery.cancel_scope.cancel()
 
         try:
