Give tests of real processes more ranges of ports

Each of the 11 sites of test_processes.py reserves one of 18 ranges until its test run ends, so that a second test run on the machine used up the ranges. There are 41 now.

--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -16,7 +16,8 @@
 # tests do not check how fast the processes are.
 WAIT_TIMEOUT_SECONDS = 60.0
 PORTS_PER_SITE = 500
-FIRST_PORTS = iter(range(21000, 30000, PORTS_PER_SITE))
+# Below the ports that the system assigns; enough for several test runs at once.
+FIRST_PORTS = iter(range(12_000, 32_500, PORTS_PER_SITE))
 # Each holds the last port of a range, so that concurrent test runs use different ones.
 RESERVATIONS = []
 
