--- a/lycheevalve/daemon/http_connection.py
+++ b/lycheevalve/daemon/http_connection.py
@@ -3,7 +3,9 @@
 import h11
 import trio
 
+from lycheevalve.daemon.buffers import buffers
 from lycheevalve.daemon.http import Request, Response, build_error
+from lycheevalve.exceptions import UnavailableError
 from lycheevalve.logs.queue import record
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -28,12 +30,20 @@
 
 async def serve_request(connection, stream, peer, handle):
     """Answer one request; return whether another may follow on the connection."""
+    with buffers.hold() as count_bytes:
+        return await answer_request(connection, stream, peer, handle, count_bytes)
+
+
+async def answer_request(connection, stream, peer, handle, count_bytes):
+    """Answer one request; `count_bytes(size)` counts the memory for its body and answer."""
     head = None
     try:
         head = await read_head(connection, stream)
         if head is None:
             return False
-        request = check_head(head) or await read_request(connection, stream, head, peer)
+        request = check_head(head) or await read_request(
+            connection, stream, head, peer, count_bytes
+        )
     except h11.RemoteProtocolError as error:
         record("bad_call", reason=str(error))
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -43,6 +53,12 @@
         await write_response(connection, stream, head, request, close=True)
         return False
     response = await handle(request)
+    # The body is not needed any more, while the answer may wait for its reader.
+    del request
+    try:
+        count_bytes(len(response.body))
+    except UnavailableError as error:
+        response = build_error(503, str(error))
     await write_response(connection, stream, head, response)
     return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
@@ -63,14 +79,17 @@
     return None
 
 
-async def read_request(connection, stream, head, peer):
+async def read_request(connection, stream, head, peer, count_bytes):
     """Return the Request of a head, or an error Response."""
-    with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
-        return await read_body(connection, stream, head, peer)
+    try:
+        with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
+            return await read_body(connection, stream, head, peer, count_bytes)
+    except UnavailableError as error:
+        return build_error(503, str(error))
     return build_error(408, "the request body did not arrive in time")
 
 
-async def read_body(connection, stream, head, peer):
+async def read_body(connection, stream, head, peer, count_bytes):
     """Return the Request of a head and its body, or an error Response."""
     body = bytearray()
     while True:
@@ -79,6 +98,7 @@
             body += event.data
             if len(body) > MAX_BODY_BYTES:
                 return build_error(413, f"the request body exceeds {MAX_BODY_BYTES} bytes")
+            count_bytes(len(body))
         elif isinstance(event, h11.EndOfMessage):
             method, path = head.method.decode(), head.target.decode()
             return Request(method, path, bytes(body), peer)
--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -4,7 +4,7 @@
 from lycheevalve.platform.strict_json import read_json
 from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Registration
-from lycheevalve.utils.addresses import parse_address
+from lycheevalve.utils.addresses import format_address, parse_address
 
 STEP = "read heartbeat"
 STATES = ("ready", "draining")
@@ -14,11 +14,16 @@
 # The registrations of all targets are sent in one message, whose size is limited, and an
 # answer to a lookup holds as many bytes of a name.
 MAX_TEXT_LENGTH = 255
+# JSON takes many times as much memory once it is read.
+MAX_HEARTBEAT_BYTES = 64 * 1024
 
 
 def read_heartbeat(name, body, heartbeat_ms):
     """Return the Registration of a heartbeat; raise AnnouncementError when it is invalid."""
     check_name(name)
+    if len(body) > MAX_HEARTBEAT_BYTES:
+        reason = f"a heartbeat of {len(body)} bytes exceeds {MAX_HEARTBEAT_BYTES}"
+        raise AnnouncementError(reason, STEP, name)
     try:
         value = read_json(body)
     except ValueError as error:
@@ -30,7 +35,8 @@
         raise AnnouncementError(f"state must be ready or draining, not {state!r}", STEP, name)
     address = read_string(value, "address", name)
     try:
-        parse_address(address)
+        # One spelling, since parts of an instance find upstreams by the text.
+        address = format_address(parse_address(address))
     except ValueError as error:
         raise AnnouncementError(str(error), STEP, name) from error
     registration = Registration(
