Open the socket for probes once its address is available

What operators saw: an instance that starts while the address for probes is in use, or without a free descriptor, never probed control replicas nor asked for checks of upstreams. Cause: the socket was opened once. Change: it is tried again every 5 s. Measured: test_probe_address.py failed before and passes.

--- a/lycheevalve/daemon/entry.py
+++ b/lycheevalve/daemon/entry.py
@@ -22,6 +22,7 @@
 # Without settings from a replica the early thread forwards for at most this long.
 MAX_EARLY_SECONDS = 3.0
 COUNTERS_INTERVAL_SECONDS = 10.0
+PROBE_SOCKET_RETRY_SECONDS = 5.0
 READINESS_PATH = "/ready"
 
 
@@ -87,9 +88,21 @@
 
     def start_sockets(self):
         """Start the task that reads the packet socket, and open the socket for probes."""
+        self.open_probe_socket()
+        if self.probe_socket is None:
+            self.nursery.start_soon(keep_running, "probes", self.retry_probe_socket)
+        self.nursery.start_soon(keep_running, "packets", self.udp_socket.run, self.inbox)
+
+    def open_probe_socket(self):
+        """Open the socket for probes, if its address is available."""
         settings = self.settings
         self.probe_socket = open_probe_socket(self.address, settings.key, settings.data_centre)
-        self.nursery.start_soon(keep_running, "packets", self.udp_socket.run, self.inbox)
+
+    async def retry_probe_socket(self):
+        """Open the socket for probes once its address is available."""
+        while self.probe_socket is None:
+            await trio.sleep(PROBE_SOCKET_RETRY_SECONDS)
+            self.open_probe_socket()
 
     def probe(self, address):
         """Probe a control replica, once the early thread has ended."""
