Stop a control replica without waiting for its disk or its log's inbox

What operators saw: a planned stop that ends only when the disk answers. Cause: the threads that store upstreams are waited for when their task is cancelled, and a full inbox of the log held up the task that handles the stop. Change: these threads are abandoned, as the files are replaced as a whole, and the stop is queued without waiting; without room the others elect by their timeout.

--- a/bench/mutations/coordination.py
+++ b/bench/mutations/coordination.py
@@ -88,8 +88,8 @@
     Mutant(
         "an instance applies revisions before its peers have answered",
         "coordination/dissemination.py",
-        "        if not self.ready or self.held.revision <= self.applied.revision:",
-        "        if self.held.revision <= self.applied.revision:",
+        "        if not self.ready or self.held.revision <= tried:",
+        "        if self.held.revision <= tried:",
         f"{DISSEMINATION}::TestRestartWithoutDisk",
     ),
     Mutant(
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -376,7 +376,11 @@
         if not self.stopping_since:
             self.stopping_since = trio.current_time()
             record("leaving")
-            await self.replica_inbox.send(Stop())
+            try:
+                self.replica_inbox.send_nowait(Stop())
+            except trio.WouldBlock:
+                # The others elect a leader at their timeout.
+                record("queue_full", peer="replica")
 
     def is_stopped(self, now):
         """Return whether the graceful stop is complete."""
--- a/lycheevalve/daemon/upstream_store.py
+++ b/lycheevalve/daemon/upstream_store.py
@@ -1,5 +1,7 @@
 """The registrations of upstreams on the disk of a control replica."""
 
+import functools
+
 import trio
 
 from lycheevalve.coordination.upstream_cache import (
@@ -12,6 +14,9 @@
 from lycheevalve.exceptions import StorageError
 from lycheevalve.logs.queue import record
 
+# A stop of the process does not wait for the disk: the files are replaced as a whole.
+run_in_thread = functools.partial(trio.to_thread.run_sync, abandon_on_cancel=True)
+
 
 class UpstreamStore:
     """
@@ -28,7 +33,7 @@
     async def load(self):
         """Load the upstreams stored before the start; announcements replace them."""
         try:
-            registrations = await trio.to_thread.run_sync(read_upstream_cache, self.folder)
+            registrations = await run_in_thread(read_upstream_cache, self.folder)
         except StorageError as error:
             record("upstreams_unreadable", reason=str(error))
             return
@@ -56,5 +61,5 @@
         """Write the valid leases and the table of lookups; raise StorageError on failure."""
         leases = self.logic.upstreams.live_leases(now)
         targets = self.logic.lookups.list_targets(now)
-        await trio.to_thread.run_sync(write_upstream_cache, self.folder, leases)
-        await trio.to_thread.run_sync(write_lookup_table, self.folder, targets, self.key)
+        await run_in_thread(write_upstream_cache, self.folder, leases)
+        await run_in_thread(write_lookup_table, self.folder, targets, self.key)
