Test the errors of each disk operation of the store of upstreams

ENOSPC, EIO, EROFS and a missing folder at open, write, rename and the sync of the folder are errors of the disk, which the store logs and tries again; the file keeps the old or has the new upstreams. The code did so before; no test showed it.

--- a/lycheevalve/tests/test_storage.py
+++ b/lycheevalve/tests/test_storage.py
@@ -5,13 +5,14 @@
 import random
 import tempfile
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lycheevalve.coordination import consensus, upstream_cache
+from lycheevalve.coordination import consensus, storage, upstream_cache
 from lycheevalve.coordination.replica import Effects, Role
 from lycheevalve.coordination.storage import LOG_NAME, SNAPSHOT_NAME, Storage
 from lycheevalve.coordination.upstream_cache import (
@@ -313,8 +314,47 @@
         self.applied.append(registration.name)
 
 
+# The operations of a write by name: the object and the name of the function that fails.
+DISK_OPERATIONS = {
+    "open": (storage, "open"),
+    "write": (storage, "write_whole"),
+    "rename": (Path, "replace"),
+    "sync of the folder": (storage, "sync_folder"),
+}
+
+
 class TestUpstreamStore:
-    """The stored upstreams at the start of a replica."""
+    """The upstreams that a replica stores for its next start."""
+
+    # An error that is not reported as one of the disk ends the writing of further changes.
+    @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS, errno.ENOENT])
+    @pytest.mark.parametrize("operation", DISK_OPERATIONS)
+    def test_failed_operation_is_an_error_of_the_disk(
+        self, operation, number, tmp_path, monkeypatch
+    ):
+        def fail(*_, **__):
+            raise OSError(number, os.strerror(number))
+
+        def build_store(name):
+            logic = Mock()
+            logic.upstreams.live_leases.return_value = [
+                Registration("s1", "10.0.0.1:1", "dc1", name=name)
+            ]
+            logic.lookups.list_targets.return_value = []
+            return UpstreamStore(tmp_path, logic, b"key")
+
+        def read_names():
+            return [r.name for r in upstream_cache.read_upstream_cache(tmp_path)]
+
+        trio.run(build_store("old").write, 0.0)
+        with monkeypatch.context() as patch:
+            owner, name = DISK_OPERATIONS[operation]
+            patch.setattr(owner, name, fail, raising=False)
+            with pytest.raises(StorageError, match=os.strerror(number)):
+                trio.run(build_store("new").write, 0.0)
+        assert read_names() in (["old"], ["new"])
+        trio.run(build_store("new").write, 0.0)
+        assert read_names() == ["new"]
 
     # One registration that can't be used lost all that were stored after it.
     def test_unusable_registration_loses_no_other(self, tmp_path):
