--- a/lycheevalve/tests/test_strict_json.py
+++ b/lycheevalve/tests/test_strict_json.py
@@ -1,12 +1,14 @@
 """JSON of operators and targets: what other readers refuse is refused, all else is read."""
 
 import json
+import time
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from lycheevalve.exceptions import AnnouncementError, SettingsError
+from lycheevalve.platform import documents
 from lycheevalve.platform.documents import read_document, read_routes
 from lycheevalve.platform.heartbeats import read_heartbeat
 from lycheevalve.platform.strict_json import MAX_NESTING, read_json
@@ -109,6 +111,20 @@
         assert read_heartbeat("i-7", self.insert(build_heartbeat(), text), 770)
 
 
+class TestReading:
+    """The reading of a configuration before it is accepted."""
+
+    def test_configuration_that_instances_cannot_read_is_refused(self, monkeypatch):
+        """A change of what instances read must not outrun the checks of the replicas."""
+
+        def build_routes(value):
+            raise KeyError("a field that instances need")
+
+        monkeypatch.setattr(documents, "build_routes", build_routes)
+        with pytest.raises(SettingsError, match="a field that instances need"):
+            read_document(encode(build_value()))
+
+
 class TestNumbers:
     """Numbers of routes that instances can't calculate with."""
 
@@ -134,3 +150,15 @@
         value = build_value(timeoutMs=2**63 - 1, weightedBackends=backends)
         (route,) = read_routes(read_document(encode(value)).text).values()
         assert float(sum(weight for _, weight in route.backends)) == 2.0**64
+
+
+class TestLargeObjects:
+    """Objects as large as a body may be."""
+
+    # Each key was counted among all keys: a body of 190 KB stopped a replica for 9 seconds.
+    def test_repeated_key_among_many_is_found_in_time(self):
+        members = ",".join(f'"{number}":0' for number in range(50_000))
+        started_at = time.monotonic()
+        with pytest.raises(ValueError, match="repeated key '49999'"):
+            read_json(f'{{{members},"49999":0}}'.encode())
+        assert time.monotonic() - started_at < 5.0
