Read large configurations beside the event loop, and once

Cause: the strict reader was followed by a second reading of the same text, on the event loop. Change: routes are built from the value that was read; bodies above 256 KB are read in a thread.

--- a/lycheevalve/platform/documents.py
+++ b/lycheevalve/platform/documents.py
@@ -66,8 +66,8 @@
     check_document(value)
     document = Document(value["version"], zlib.compress(bytes(body), COMPRESSION_LEVEL))
     check_encodable(document.build_change())
-    # Instances read the text again, from their disks also after a restart.
-    read_routes(document.text)
+    # Instances read the routes from the text, from their disks also after a restart.
+    check_routes(value)
     return document
 
 
@@ -88,7 +88,16 @@
     Raise SettingsError when it is unreadable, as one may be that an earlier version accepted.
     """
     try:
-        return build_routes(json.loads(zlib.decompress(text)))
+        value = json.loads(zlib.decompress(text))
+    except CONTENT_ERRORS as error:
+        raise SettingsError(f"unreadable: {error!r}", "read configuration") from error
+    return check_routes(value)
+
+
+def check_routes(value):
+    """Return the routes of a decoded document; raise SettingsError when one is unreadable."""
+    try:
+        return build_routes(value)
     except CONTENT_ERRORS as error:
         raise SettingsError(f"unreadable: {error!r}", "read configuration") from error
 
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -3,6 +3,8 @@
 import functools
 import uuid
 
+import trio
+
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.daemon.http import Response, Server, build_error, build_json
 from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
@@ -21,6 +23,8 @@
 DEREGISTER = ("POST", "/Instances.Deregister/")
 # Reasons quote names and values of the call, which may have any length.
 MAX_REASON_LENGTH = 500
+# Reading a larger configuration takes longer than other callers should wait.
+MAX_INLINE_BYTES = 256 * 1024
 # The log event for each error of an invalid call.
 REFUSALS = {SettingsError: "refused", AnnouncementError: "announcement_refused"}
 
@@ -66,7 +70,7 @@
 
 async def replace(process, _, request):
     """Propose a configuration; acknowledge it once a quorum has stored it."""
-    document = read_document(request.body)
+    document = await read_request_document(request.body)
     held = process.logic.dissemination.held.revision
     if document.revision <= held:
         # A committed revision is never rolled back, so this answer needs no leader.
@@ -77,6 +81,13 @@
     return build_json(200, {"version": result.revision})
 
 
+async def read_request_document(body):
+    """Return the Document of a request's body; a large one is read beside the event loop."""
+    if len(body) <= MAX_INLINE_BYTES:
+        return read_document(body)
+    return await trio.to_thread.run_sync(read_document, body)
+
+
 async def read(process, *_):
     """Return the newest configuration as it was sent; 404 if there is none."""
     configuration = await process.read()
