Remove a recovering member before one that holds the log

What operators would see: a healthy voter removed while a recovering member stays, when one member is too many. Cause: members were ordered by their entries alone, found by reading in the review. Change: recovering members come first. Measured: test_leadership.py and test_full_disks.py pass.

--- a/lycheevalve/coordination/replacement.py
+++ b/lycheevalve/coordination/replacement.py
@@ -8,6 +8,8 @@
 if it returns before it is removed, the member with the fewest entries is.
 """
 
+import functools
+
 from lycheevalve.coordination.consensus import can_propose, propose_members
 
 # A member that has not answered for this long may be replaced: longer than a restart,
@@ -58,7 +60,13 @@
     others = [name for name in replica.others() if name in replica.progress]
     if not is_one_more or len(others) != target_member_count:
         return ""
-    return min(others, key=lambda name: (replica.progress[name].match, name))
+    return min(others, key=functools.partial(rank_member, replica))
+
+
+def rank_member(replica, name):
+    """Return a key that orders members by how much they hold, recovering ones first."""
+    progress = replica.progress[name]
+    return not progress.recovering, progress.match, name
 
 
 def plan_members(replica, target_member_count, now):
