Open a polling connection again after any error of its events

What operators would see: an instance that polls no more after an error while a connection was opened, or one message of a batch that holds up the others. Cause: only errors of answers opened the connection again; found by reading in the review. Change: both events share one mechanism, messages of lycheevalved are units of their own, and logged errors have a bounded length.

--- a/lycheevalve/daemon/boundaries.py
+++ b/lycheevalve/daemon/boundaries.py
@@ -18,6 +18,7 @@
 MIN_RESTART_SECONDS = 0.1
 MAX_RESTART_SECONDS = 3.0
 
+MAX_ERROR_CHARACTERS = 1000
 PACKAGE = __name__.partition(".")[0]
 
 # How many units have failed, by (task, type of the error).
@@ -32,7 +33,8 @@
         return
     kind = type(error).__name__
     failures[task, kind] += 1
-    record("task_failed", task=task, peer=peer, error=repr(error), place=find_place(error))
+    text = repr(error)[:MAX_ERROR_CHARACTERS]
+    record("task_failed", task=task, peer=peer, error=text, place=find_place(error))
 
 
 def find_place(error):
--- a/lycheevalve/daemon/instance.py
+++ b/lycheevalve/daemon/instance.py
@@ -231,7 +231,8 @@
             self.udp_socket.send(datagram, address)
         queued, instance.messages = instance.messages, []
         for name, message in queued:
-            self.send(name, message)
+            with contain("message", name):
+                self.send(name, message)
 
     def send(self, name, message):
         """Send a message to an instance over a link or as a datagram."""
--- a/lycheevalve/daemon/role_process.py
+++ b/lycheevalve/daemon/role_process.py
@@ -1,5 +1,6 @@
 """Base of the entry and control processes: inbox, polling connections, timers."""
 
+import contextlib
 import functools
 import random
 import time
@@ -148,21 +149,28 @@
     # Events.
 
     async def handle_received(self, event):
+        """Handle an answer of a control replica."""
+        with self.reopening(event.sender):
+            self.logic.handle_message(event.sender, event.message, trio.current_time())
+
+    @contextlib.contextmanager
+    def reopening(self, address):
         """
-        Handle an answer of a control replica.
+        Handle an event of a polling connection in the block.
 
-        After an error the connection is opened again, as the next poll follows an answer.
+        After an error the connection is opened again, as no poll may follow otherwise.
         """
         try:
-            self.logic.handle_message(event.sender, event.message, trio.current_time())
+            yield
         except Exception as error:
-            report_failure("message", error, event.sender)
-            self.connections.reopen(event.sender)
+            report_failure("message", error, address)
+            self.connections.reopen(address)
 
     async def handle_opened(self, event):
         """Start to poll a control replica whose connection was opened."""
         record("source_reached", peer=event.address)
-        self.logic.start_polling(event.address, trio.current_time())
+        with self.reopening(event.address):
+            self.logic.start_polling(event.address, trio.current_time())
 
     async def handle_closed(self, event):
         """Log that the connection to a control replica was lost."""
