--- a/lycheevalve/tests/test_paused_replicas.py
+++ b/lycheevalve/tests/test_paused_replicas.py
@@ -13,8 +13,7 @@
 # Longer than the limit on an answer of a replica, shorter than that of the polling connection.
 PAUSE_SECONDS = 0.95
 ROUNDS = 4
-# Far longer than any configuration takes: without a poll it is never in force.
-IN_FORCE_SECONDS = 60.0
+IN_FORCE_SECONDS = 10.0
 
 
 @pytest.fixture
