Use one wait_for in the tests of real processes

test_processes.py had the same loop and time limit as fakes/role_processes.py. No assertion and no bound changes; the condition is tried every 0.05 s instead of 0.1 s.

--- a/lycheevalve/tests/test_processes.py
+++ b/lycheevalve/tests/test_processes.py
@@ -4,17 +4,14 @@
 import shutil
 import signal
 import socket
-import time
 
 import pytest
 
 from bench.deployment import Deployment
 from lycheevalve.coordination.run_record import STOPPED, read_run_record
+from lycheevalve.tests.fakes.role_processes import WAIT_TIMEOUT_SECONDS, wait_for
 from lycheevalve.utils.addresses import parse_address
 
-# A condition must hold within this time, which is far longer than any step takes: these
-# tests do not check how fast the processes are.
-WAIT_TIMEOUT_SECONDS = 60.0
 PORTS_PER_SITE = 500
 # Below the ports that the system assigns; enough for several test runs at once.
 FIRST_PORTS = iter(range(12_000, 32_500, PORTS_PER_SITE))
@@ -22,17 +19,6 @@
 RESERVATIONS = []
 
 
-def wait_for(condition):
-    """Wait until `condition()` returns a true value; return it."""
-    end = time.monotonic() + WAIT_TIMEOUT_SECONDS
-    while time.monotonic() < end:
-        result = condition()
-        if result:
-            return result
-        time.sleep(0.1)
-    raise AssertionError("the condition did not hold in time")
-
-
 def find_ports():
     """Return the first port of an unused range."""
     for first in FIRST_PORTS:
