Replace a lost member before its successor stops counting as lost

The time also began anew with each leader, except for the lost leader itself. Change: the catch-up time is a setting (`catch_up_seconds`, from the bound); a member is replaced after four fifths of it, at most 4 s. Control replicas poll each other whoever leads, so each replica records its last contact with those that became silent, and counts from there as leader.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -272,6 +272,14 @@
         polling = self.feed.live_controls(now)
         return {*polling, *self.subscriptions.in_contact(now)} - {self.address}
 
+    def find_last_contact(self, address):
+        """Return when another control replica last polled or answered this one."""
+        source = self.subscriptions.sources.get(address)
+        subscriber = self.feed.subscribers.get(address)
+        times = [source.answered_at] if source else []
+        times += [subscriber.polled_at] if subscriber else []
+        return max(times, default=float("-inf"))
+
     # Messages.
 
     def send(self, name, message):
--- a/lycheevalve/coordination/elections.py
+++ b/lycheevalve/coordination/elections.py
@@ -99,17 +99,30 @@
     replica.role = Role.LEADER
     replica.leader = replica.name
     next_index = replica.log.last_index() + 1
-    replica.progress = {name: Progress(next_index, acked_at=now) for name in replica.others()}
-    lost = replica.last_leader
-    if lost in replica.progress and lost not in replica.votes:
-        # The time to replace it counts from its last message, not from the election.
-        replica.progress[lost].acked_at = replica.leader_contact_at
+    replica.progress = {
+        name: Progress(next_index, acked_at=find_last_contact(replica, name, now))
+        for name in replica.others()
+    }
+    replica.elected_at = now
     replica.last_leader = ""
     replica.append([build_first_entry(replica, next_index)])
     broadcast(replica, now)
     advance_commit(replica)
 
 
+def find_last_contact(replica, name, now):
+    """
+    Return when a member was last in contact with this replica, as far as it is known.
+
+    The time to replace a lost member counts from there, not from the election.
+    """
+    if name in replica.votes:
+        return now
+    if name == replica.last_leader:
+        return replica.leader_contact_at
+    return replica.silent_since.get(name, now)
+
+
 def build_first_entry(replica, index):
     """Return the first entry of a term; that of a new log records the members."""
     if replica.log.members():
--- a/lycheevalve/coordination/replacement.py
+++ b/lycheevalve/coordination/replacement.py
@@ -12,9 +12,13 @@
 
 from lycheevalve.coordination.consensus import can_propose, propose_members
 
-# A member that has not answered for this long may be replaced: longer than a restart,
-# shorter than the time after which a further loss must be tolerated.
-UNRESPONSIVE_SECONDS = 4.0
+# A member that has not answered for this long may be replaced: longer than a restart.
+MAX_UNRESPONSIVE_SECONDS = 4.0
+# The part of the catch-up time after which a member is replaced. The rest is for the changes
+# of the members, since a further loss must be tolerated at the end of that time.
+UNRESPONSIVE_SHARE = 0.8
+# A new leader has the answers of all members that run after this time.
+FIRST_ANSWER_SECONDS = 0.5
 # A spare must have answered the leader within this time.
 SPARE_CONTACT_SECONDS = 0.5
 
@@ -24,13 +28,19 @@
     return 2 * tolerated_losses + 1
 
 
-def find_unresponsive(replica, now):
-    """Return the members that have not answered the leader within the limit."""
+def unresponsive_seconds(catch_up_seconds):
+    """Return after how many seconds without an answer a member is replaced."""
+    return min(MAX_UNRESPONSIVE_SECONDS, UNRESPONSIVE_SHARE * catch_up_seconds)
+
+
+def find_unresponsive(replica, limit, now):
+    """Return the members that have not answered a leader for more than `limit` seconds."""
+    if now - replica.elected_at < FIRST_ANSWER_SECONDS:
+        return []
     return [
         name
         for name in replica.others()
-        if name in replica.progress
-        and now - replica.progress[name].acked_at > UNRESPONSIVE_SECONDS
+        if name in replica.progress and now - replica.progress[name].acked_at > limit
     ]
 
 
@@ -69,9 +79,9 @@
     return not progress.recovering, progress.match, name
 
 
-def plan_members(replica, target_member_count, now):
+def plan_members(replica, target_member_count, limit, now):
     """Return the next set of members, or None if no change is needed or possible."""
-    unresponsive = find_unresponsive(replica, now)
+    unresponsive = find_unresponsive(replica, limit, now)
     surplus = find_surplus(replica, target_member_count, unresponsive)
     if surplus:
         return [name for name in replica.members if name != surplus]
@@ -81,11 +91,12 @@
     return None
 
 
-def replace_lost_member(replica, target_member_count, now):
+def replace_lost_member(replica, target_member_count, catch_up_seconds, now):
     """As leader, propose the next step of a replacement; return the new members or None."""
     if not can_propose(replica, now):
         return None
-    members = plan_members(replica, target_member_count, now)
+    limit = unresponsive_seconds(catch_up_seconds)
+    members = plan_members(replica, target_member_count, limit, now)
     if members is None or propose_members(replica, members, now):
         return None
     return members
--- a/lycheevalve/coordination/replica.py
+++ b/lycheevalve/coordination/replica.py
@@ -104,6 +104,8 @@
     contact_valid_from: float = float("-inf")
     election_at: float = 0.0
     heartbeat_at: float = 0.0
+    # When this replica last became leader.
+    elected_at: float = float("-inf")
     # Number of the leader's latest heartbeat; an answer confirms one of them.
     round: int = 0
     votes: set[str] = attrs.field(factory=set)
@@ -114,6 +116,8 @@
     blank_peers: set[str] = attrs.field(factory=set)
     # Processes that receive the log without counting towards a quorum.
     learners: set[str] = attrs.field(factory=set)
+    # The last contact with each process that was a learner and has become silent.
+    silent_since: dict[str, float] = attrs.field(factory=dict)
     # Pending reads as (round that confirms the read, token).
     pending_reads: list[tuple[int, object]] = attrs.field(factory=list)
     effects: Effects = attrs.field(factory=Effects)
@@ -122,6 +126,17 @@
         """Return the other members."""
         return [name for name in self.members if name != self.name]
 
+    def set_learners(self, names, silent_since):
+        """
+        Set the learners; `silent_since` has the last contact with each silent process.
+
+        Contact in this sense needs no leader, so it is known to the next one.
+        """
+        self.learners = set(names)
+        self.silent_since |= silent_since
+        for name in self.learners & self.silent_since.keys():
+            del self.silent_since[name]
+
     def replication_targets(self):
         """Return the other members and the learners, which all receive the log."""
         names = dict.fromkeys([*self.others(), *sorted(self.learners)])
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -143,6 +143,7 @@
             check=accept_checked,
             founding=self.settings.founding,
             target_member_count=count_target_members(self.settings.tolerated_losses),
+            catch_up_seconds=self.settings.catch_up_seconds,
         )
         nursery.start_soon(keep_running, "replica", task.run, receiver)
         store = UpstreamStore(Path(self.settings.data_folder), self.logic, self.lookup_key)
@@ -356,8 +357,10 @@
             )
         learners = frozenset(self.logic.learners(trio.current_time()))
         if learners != self.learners:
+            silent = self.learners - learners
+            silent_since = {name: self.logic.find_last_contact(name) for name in silent}
             try:
-                self.replica_inbox.send_nowait(Learners(learners))
+                self.replica_inbox.send_nowait(Learners(learners, silent_since))
                 self.learners = learners
             except trio.WouldBlock:
                 record("queue_full", peer="replica")
--- a/lycheevalve/daemon/events.py
+++ b/lycheevalve/daemon/events.py
@@ -60,9 +60,14 @@
 
 @attrs.frozen
 class Learners:
-    """The processes that receive the log without being members."""
+    """
+    The processes that receive the log without being members.
+
+    `silent_since` has the last contact with each process that was one of them before.
+    """
 
     names: frozenset
+    silent_since: dict = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/lycheevalve/daemon/replica_task.py
+++ b/lycheevalve/daemon/replica_task.py
@@ -62,6 +62,7 @@
         check=check_change,
         founding=None,
         target_member_count=0,
+        catch_up_seconds=4.0,
     ):
         self.settings = settings
         self.folder = folder
@@ -71,11 +72,12 @@
         self.founding = founding
         # Lost members are replaced to keep this many; 0 leaves replacement to operators.
         self.target_member_count = target_member_count
+        self.catch_up_seconds = catch_up_seconds
         self.storage = None
         self.replica = None
         # Reply -> message of each query without an answer.
         self.pending = {}
-        self.learners = set()
+        self.learners = frozenset()
         # The leader to which queries are referred while the replica is stopped.
         self.leader = ""
         # Whether the process resumed after a pause while the replica was stopped.
@@ -182,7 +184,7 @@
             self.check,
             self.founding,
         )
-        self.replica.learners = self.learners
+        self.replica.set_learners(self.learners, {})
         record(
             "replica",
             role=self.replica.role.value,
@@ -204,7 +206,9 @@
         """Run the replica's timers and replace lost members."""
         consensus.tick(self.replica, now)
         members = (
-            replace_lost_member(self.replica, self.target_member_count, now)
+            replace_lost_member(
+                self.replica, self.target_member_count, self.catch_up_seconds, now
+            )
             if self.target_member_count
             else None
         )
@@ -223,15 +227,15 @@
             self.pending[event.reply] = event.message
             self.handle_query(event, now)
         elif isinstance(event, Learners):
-            self.set_learners(event.names)
+            self.set_learners(event)
         elif isinstance(event, Stop):
             consensus.transfer_leadership(self.replica, now)
 
-    def set_learners(self, names):
+    def set_learners(self, event):
         """Set the processes that receive the log without being members."""
-        self.learners = set(names)
+        self.learners = event.names
         if self.replica is not None:
-            self.replica.learners = self.learners
+            self.replica.set_learners(event.names, event.silent_since)
 
     def answer(self, reply, result):
         """Answer a query, unless it has been answered or refused."""
@@ -370,7 +374,7 @@
                 self.pending[event.reply] = event.message
                 self.refuse_pending(reason, self.leader)
             elif isinstance(event, Learners):
-                self.set_learners(event.names)
+                self.set_learners(event)
             elif isinstance(event, Resumed):
                 self.is_resumed = True
             elif isinstance(event, Stop):
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -75,4 +75,6 @@
   18: list<string> data_centres
   // Capacity of the network link of the machine; 0 if it is not known.
   19: double link_mbps = 0.0
+  // How long an instance that is back, or the successor of one, still counts as lost.
+  20: double catch_up_seconds = 4.0
 }
--- a/lycheevalve/tests/fakes/replicas.py
+++ b/lycheevalve/tests/fakes/replicas.py
@@ -15,6 +15,9 @@
 STEP_SECONDS = 0.05
 # As in daemon/replica_task.py.
 DISK_RETRY_DELAY_SECONDS = 0.5
+# Without contact for this long a process is no learner, as in coordination/subscriptions.py.
+CONTACT_TIMEOUT_SECONDS = 2.0
+CATCH_UP_SECONDS = 4.0
 
 
 def build_service(name, port=7001):
@@ -88,6 +91,8 @@
         self.paused = set()
         # Name of a replica whose disk failed -> time when it loads its files again.
         self.retries = {}
+        # (replica, other) -> time of their last contact; their polls do not use the network.
+        self.contacts = {}
         self.now = 100.0
         self.results = []
         self.reads = []
@@ -110,7 +115,15 @@
             founding=None if self.founding_members is None else not self.started,
         )
         if self.founding_members is not None:
-            self.running[name].learners = set(self.names) - {name}
+            self.running[name].set_learners(set(self.names) - {name}, {})
+
+    def add_empty(self):
+        """Start a further process with an empty disk; return its name."""
+        name = f"r{len(self.disks) + 1}"
+        self.names.append(name)
+        self.disks[name] = Disk()
+        self.restart(name)
+        return name
 
     def crash(self, name):
         """Stop a replica and keep its disk."""
@@ -164,11 +177,18 @@
         """Advance the time, tick all replicas and deliver a share of the messages."""
         self.now += seconds
         self.retry_failed()
+        if self.founding_members is not None:
+            self.update_learners()
         for name in list(self.running):
             if name not in self.paused:
                 consensus.tick(self.running[name], self.now)
                 if self.target_member_count:
-                    replace_lost_member(self.running[name], self.target_member_count, self.now)
+                    replace_lost_member(
+                        self.running[name],
+                        self.target_member_count,
+                        CATCH_UP_SECONDS,
+                        self.now,
+                    )
                 self.apply_effects(name)
         for sender, receiver, message in self.network.pop(share):
             if receiver in self.paused:
@@ -177,6 +197,21 @@
                 consensus.handle(self.running[receiver], sender, message, self.now)
                 self.apply_effects(receiver)
 
+    def update_learners(self):
+        """Update which replicas are in contact with each other."""
+        active = [name for name in self.running if name not in self.paused]
+        for name in active:
+            others = [n for n in active if n != name and not self.network.is_cut(name, n)]
+            self.contacts |= {(name, other): self.now for other in others}
+            replica = self.running[name]
+            silent_since = {
+                other: self.contacts.get((name, other), self.now)
+                for other in replica.learners
+                if self.now - self.contacts.get((name, other), self.now)
+                > CONTACT_TIMEOUT_SECONDS
+            }
+            replica.set_learners({*replica.learners, *others} - set(silent_since), silent_since)
+
     def leaders(self):
         """Return the names of the replicas that can propose a change now."""
         return [
--- a/lycheevalve/tests/test_leadership.py
+++ b/lycheevalve/tests/test_leadership.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheevalve.coordination import consensus
-from lycheevalve.coordination.replacement import UNRESPONSIVE_SECONDS
+from lycheevalve.coordination.replacement import unresponsive_seconds
 from lycheevalve.coordination.replica import Role
 from lycheevalve.coordination.replication import HEARTBEAT_INTERVAL_SECONDS
 from lycheevalve.tests.fakes.documents import (
@@ -13,7 +13,7 @@
     is_settled,
     start_cluster,
 )
-from lycheevalve.tests.fakes.replicas import build_document
+from lycheevalve.tests.fakes.replicas import CATCH_UP_SECONDS, build_document
 
 
 class TestLearners:
@@ -91,7 +91,7 @@
         assert replicas.run_until(
             lambda: [replicas.running[n].members for n in replicas.leaders()] == [expected]
         )
-        assert replicas.now - lost_at <= UNRESPONSIVE_SECONDS + 0.5
+        assert replicas.now - lost_at <= unresponsive_seconds(CATCH_UP_SECONDS) + 0.5
 
     @pytest.mark.parametrize("seed", range(10))
     def test_former_leader_that_votes_is_kept(self, seed):
@@ -161,6 +161,62 @@
         assert replicas.running[replicas.leaders()[0]].members == FOUNDING_MEMBERS
 
 
+class TestSuccessiveLosses:
+    """
+    A second loss as soon as the successor of the first one does not count as lost any more.
+
+    Guards against a log that two of three running replicas can't use: the first lost member
+    was replaced only after the second loss, which left one member of three.
+    """
+
+    def lose(self, replicas, is_leader):
+        """Remove a member for good and start an empty process; return the member."""
+        (leader,) = replicas.leaders()
+        names = [n for n in replicas.running[leader].members if n in replicas.running]
+        lost = next(name for name in names if (name == leader) is is_leader)
+        replicas.crash(lost)
+        replicas.add_empty()
+        return lost
+
+    @pytest.mark.parametrize("seed", range(15))
+    @pytest.mark.parametrize("second", [True, False])
+    @pytest.mark.parametrize("first", [True, False])
+    def test_log_accepts_changes_after_the_second_loss(self, first, second, seed):
+        replicas = start_cluster(3, seed=seed)
+        commit_document(replicas, 5, b"kept")
+        lost_at = replicas.now
+        self.lose(replicas, is_leader=first)
+        replicas.run_until(lambda: replicas.now - lost_at >= CATCH_UP_SECONDS)
+        assert replicas.run_until(replicas.leaders)
+        self.lose(replicas, is_leader=second)
+        assert replicas.run_until(lambda: is_settled(replicas))
+        (leader,) = replicas.leaders()
+        assert applied_document(replicas, leader) == (5, b"kept")
+        commit_document(replicas, 6)
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_change_of_leaders_does_not_prolong_a_replacement(self, seed):
+        """The next leader counted the time from its own election."""
+        replicas = start_cluster(seed=seed)
+        (leader,) = replicas.leaders()
+        lost = next(name for name in FOUNDING_MEMBERS if name != leader)
+        replicas.crash(lost)
+        lost_at = replicas.now
+        replicas.run_until(lambda: replicas.now - lost_at >= 2.2)
+        (leader,) = replicas.leaders()
+        consensus.transfer_leadership(replicas.running[leader], replicas.now)
+        replicas.apply_effects(leader)
+        assert replicas.run_until(lambda: replicas.leaders() not in ([], [leader]))
+        expected = sorted(set(replicas.names) - {lost})
+        assert replicas.run_until(
+            lambda: [replicas.running[n].members for n in replicas.leaders()] == [expected]
+        )
+        assert replicas.now - lost_at <= CATCH_UP_SECONDS
+
+    def test_limit_follows_the_catch_up_time(self):
+        assert [unresponsive_seconds(s) for s in (2.0, 4.0, 6.0)] == [1.6, 3.2, 4.0]
+
+
 class TestLeadershipTransfer:
     """A stopping leader transfers its leadership."""
 
