Take no control replica that stops as planned for a lost one

Cause: three conclusions are drawn from the silence of replicas: which data centres are cut off (reachability.py), whether the own one is (subscriptions.py), and what a replica last reported as unreachable was held for 2 s after its end. None of them knew of planned stops. Change: a replica that gets SIGTERM says so to all that poll it, and the others pass it on to their instances at once (`News.leaving`), until another process at its address polls or answers them. Replicas that stop are no witnesses, and their findings end with them.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from lycheevalve.coordination.departures import Departures
 from lycheevalve.coordination.dissemination import Dissemination
 from lycheevalve.coordination.evacuations import AppliedEvacuations, get_evacuations
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS, Feed, is_renewal
@@ -67,7 +68,7 @@
     # In the order of their deadlines.
     pending_polls: collections.deque = attrs.field(factory=collections.deque)
     # The latest urgent update and revision that the pending polls were checked for.
-    checked_update: tuple = (0, 0, 0, 0)
+    checked_update: tuple = (0, 0, 0, 0, 0)
     pending_deregistrations: list = attrs.field(factory=list)
     # Set by the owner from its replica of the log: whether that is current, and its members.
     current: bool = False
@@ -91,6 +92,7 @@
             observe=self.observe,
         )
         self.evacuations = AppliedEvacuations(self.apply_evacuations)
+        self.departures = Departures(self.address)
         self.checks = UpstreamChecks(self.lookups.cookies.find, self.list_serving)
         self.feed = Feed(
             self.incarnation,
@@ -98,6 +100,7 @@
             self.dissemination,
             self.evacuations,
             self.checks,
+            self.departures,
             self.observe,
             self.now,
             self.data_centre,
@@ -118,8 +121,14 @@
         self.lookups.evict()
         self.feed.evict_expired(now)
         self.subscriptions.evict_lost(now)
+        self.departures.retain(self.subscriptions.sources)
         self.subscriptions.choose_active(now)
 
+    def leave(self, now):
+        """Announce the graceful stop to all subscribers."""
+        self.departures.add(self.address, self.incarnation)
+        self.answer_pending(now)
+
     # Upstreams.
 
     def apply_registration(self, registration, now, source=""):
@@ -205,7 +214,8 @@
 
     def continue_checks(self, now):
         """Check unreachable upstreams again."""
-        self.checks.tick(self.subscriptions.near_sources(now), now)
+        near = self.subscriptions.near_sources(now).keys()
+        self.checks.tick(near - self.departures.feeds.keys(), now)
 
     # Subscribers.
 
@@ -214,6 +224,7 @@
         self.now = now
         self.feed.record_poll(poll, now)
         if poll.is_control:
+            self.departures.end(poll.address, poll.process)
             self.subscriptions.add_sources([poll.address], now, [poll.data_centre])
             self.subscriptions.choose_active(now)
         entry = PendingReply(reply, now + LONG_POLL_SECONDS, poll)
@@ -226,7 +237,13 @@
     def answer_pending(self, now):
         """Answer the pending requests that are complete or past their deadline."""
         held = self.dissemination.held.revision
-        update = (self.feed.urgent_version, held, self.evacuations.number, self.checks.number)
+        update = (
+            self.feed.urgent_version,
+            held,
+            self.evacuations.number,
+            self.checks.number,
+            self.departures.number,
+        )
         if update != self.checked_update:
             self.checked_update = update
             pending, self.pending_polls = self.pending_polls, collections.deque()
@@ -323,6 +340,9 @@
         for registration in news.registrations:
             self.apply_registration(registration, now, sender)
         self.evacuations.adopt(news.evacuations, now)
+        self.departures.end(sender, news.feed)
+        if sender in (news.leaving or ()):
+            self.departures.add(sender, news.feed)
         if news.data_centre == self.data_centre:
             self.checks.adopt(sender, news.unreachable or ())
         self.feed.settled = self.feed.settled or news.settled
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -54,7 +54,7 @@
     `number` identifies this start of the feed, since versions restart with it;
     `upstreams` is the table of flows/upstreams.py; `dissemination` holds the
     configuration, `evacuations` is the AppliedEvacuations of evacuations.py, and `checks` the
-    UpstreamChecks of upstream_checks.py.
+    UpstreamChecks of upstream_checks.py, `departures` the Departures of departures.py.
     """
 
     number: int
@@ -62,6 +62,7 @@
     dissemination: object
     evacuations: object
     checks: object
+    departures: object
     observe: object
     started_at: float
     data_centre: str = ""
@@ -187,6 +188,8 @@
             return True
         if 0 < poll.unreachable_known <= self.checks.number:
             return True
+        if 0 < poll.leaving_known <= self.departures.number:
+            return True
         return poll.told < self.dissemination.held.revision
 
     def is_acknowledged(self, version, now):
@@ -212,6 +215,7 @@
         settled = self.is_settled(now)
         key = (version, self.version, poll.changes_only, current, held, applied, settled)
         key = (*key, tuple(controls), self.evacuations.number, self.checks.number)
+        key = (*key, self.departures.number)
         if key not in self.answers:
             self.answers[key] = News(
                 applied=applied,
@@ -232,6 +236,8 @@
                 if poll.changes_only
                 else self.checks.list_found(),
                 unreachable_number=self.checks.number,
+                leaving=self.departures.list_leaving(),
+                leaving_number=self.departures.number,
             )
         return self.answers[key]
 
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -51,6 +51,9 @@
     # The cookies of the upstreams that it reports as unreachable, and their number.
     unreachable: frozenset = frozenset()
     unreachable_number: int = 0
+    # The control replicas that stop, as it reports them, and the number of that report.
+    leaving: frozenset = frozenset()
+    leaving_number: int = 0
     answered_at: float = float("-inf")
     # When it was last listed by a replica or answered.
     last_listed_at: float = float("-inf")
@@ -201,6 +204,7 @@
             changes_only=not self.is_control,
             evacuations_applied=evacuations_number + 1,
             unreachable_known=source.unreachable_number + 1,
+            leaving_known=source.leaving_number + 1,
         )
 
     @contextlib.contextmanager
@@ -212,7 +216,7 @@
             source = self.sources.get(address)
             if source is not None:
                 source.feed = source.version = source.reported_revision = 0
-                source.unreachable_number = 0
+                source.unreachable_number = source.leaving_number = 0
                 source.leases = {}
             raise
 
@@ -236,6 +240,8 @@
         source.near_instances = news.near_instances or 0
         source.unreachable = frozenset(news.unreachable or ())
         source.unreachable_number = news.unreachable_number or 0
+        source.leaving = frozenset(news.leaving or ())
+        source.leaving_number = news.leaving_number or 0
         source.changes_only = bool(news.changes_only)
         if source.changes_only:
             self.update_source_leases(source, news.registrations)
@@ -277,6 +283,10 @@
             and now - source.answered_at < CONTACT_TIMEOUT_SECONDS
         }
 
+    def find_leaving(self, now):
+        """Return the addresses of the control replicas that stop, as sources report them."""
+        return frozenset().union(*(self.sources[a].leaving for a in self.in_contact(now)))
+
     def count_instances(self, now):
         """Return how many entry instances this data centre has, 0 if it is not known."""
         counts = [source.near_instances for source in self.near_sources(now).values()]
@@ -287,9 +297,16 @@
         return 2 * (len(self.in_contact(now)) + 1) > len(self.sources) + 1
 
     def has_lost_other_data_centres(self, now):
-        """Return whether the sources of all other data centres have stopped answering."""
+        """
+        Return whether the sources of all other data centres have stopped answering.
+
+        Those that stop as planned do not count.
+        """
+        leaving = self.find_leaving(now)
         others = [
-            s for s in self.sources.values() if s.data_centre not in ("", self.data_centre)
+            source
+            for address, source in self.sources.items()
+            if source.data_centre not in ("", self.data_centre) and address not in leaving
         ]
         return bool(others) and all(
             s.active and now - max(s.answered_at, s.active_since) > SOURCE_TIMEOUT_SECONDS
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -379,6 +379,7 @@
         if not self.stopping_since:
             self.stopping_since = trio.current_time()
             record("leaving")
+            self.logic.leave(self.stopping_since)
             try:
                 self.replica_inbox.send_nowait(Stop())
             except trio.WouldBlock:
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -203,8 +203,10 @@
         self.reachability.introduce(now)
 
     def list_replicas(self):
-        """Return the data centres of all known control replicas by their addresses."""
-        return {a: s.data_centre for a, s in self.subscriptions.sources.items()}
+        """Return the data centres of the control replicas that don't stop, by address."""
+        leaving = self.subscriptions.find_leaving(self.now)
+        sources = self.subscriptions.sources.items()
+        return {a: s.data_centre for a, s in sources if a not in leaving}
 
     def report_silence(self, upstream, now):
         """Ask the control replicas of this data centre to check an upstream."""
@@ -213,8 +215,11 @@
 
     def update_unreachable(self, now):
         """Apply what the control replicas of this data centre report as unreachable."""
-        sources = self.subscriptions.near_sources(now).values()
-        cookies = frozenset().union(*(source.unreachable for source in sources))
+        near = self.subscriptions.near_sources(now)
+        found = [
+            near[a].unreachable for a in near.keys() - self.subscriptions.find_leaving(now)
+        ]
+        cookies = frozenset().union(*found)
         if self.cookie_router.set_unreachable(cookies, now):
             self.observe("unreachable", upstreams=len(cookies))
 
--- a/lycheevalve/schema/messages.thrift
+++ b/lycheevalve/schema/messages.thrift
@@ -410,6 +410,9 @@
   // One more than the last `unreachable_number` of the polled source; 0 stands for a
   // subscriber that does not use it.
   12: i64 unreachable_known
+  // One more than the last `leaving_number` of the polled source; 0 stands for a subscriber that
+  // does not use it.
+  13: i64 leaving_known
 }
 
 // Update of configuration, upstreams and control replicas, sent by a control replica.
@@ -438,6 +441,11 @@
   14: list<i64> unreachable
   // Counts the changes of `unreachable`.
   15: i64 unreachable_number
+  // The addresses of the control replicas that stop, or have stopped and not started again, by
+  // their own word: the sender and those that it polls.
+  16: list<string> leaving
+  // Counts the changes of `leaving`.
+  17: i64 leaving_number
 }
 
 struct ReadRequest {
--- a/lycheevalve/tests/fakes/control_cluster.py
+++ b/lycheevalve/tests/fakes/control_cluster.py
@@ -43,6 +43,8 @@
         # Reply of an announcement -> time of its acknowledgement, and the answer.
         self.acknowledged = {}
         self.acknowledgements = {}
+        # The replicas that have answered probes, by the address of the entry instance.
+        self.probed = {}
         # The addresses (ip, port) of upstreams that accept no connection.
         self.dark = set()
         self.seeds = [f"10.0.0.{number}:7000" for number in range(1, controls + 1)]
@@ -75,6 +77,8 @@
             forward=lambda upstream, cookie, packet: self.sent.append((upstream, packet)),
             reset=lambda packet: self.sent.append((None, packet)),
             observe=lambda name, **details: self.events.append((address, name, details)),
+            probe=lambda replica: self.probe(address, replica),
+            collect_answers=lambda: self.probed.pop(address, ()),
             request_check=self.request_check,
         )
         entry.subscriptions.set_seeds(self.seeds, self.now)
@@ -110,6 +114,11 @@
                 self.run_checks(self.running[address])
                 self.deliver_answers(address)
 
+    def probe(self, address, replica):
+        """Deliver an entry instance's probe, which a running replica answers at once."""
+        if replica in self.running and not self.is_cut(address, replica):
+            self.probed.setdefault(address, []).append(replica)
+
     def request_check(self, address, cookie):
         """Deliver an instance's request for a check of an upstream."""
         if address in self.running:
