Deregister only the incarnation that a call is about

Cause: a deregistration named an upstream by its id alone. One that the cut had held up arrived when the id was in use again, and took the newest registration with the id out of service at all instances. Heartbeats are ordered by incarnation, deregistrations were not; the `born` in their body was never read. Related, found on the way: a heartbeat that arrived after the deregistration of its own incarnation brought that back if its number was higher, as other replicas may have had more of them; and a replica acknowledged the end of an upstream that it had not heard of while the others used it. Change: a deregistration ends the incarnation that it names, is acknowledged for one that has ended before, and is not acknowledged where that can't be known, so that it is sent to another replica. The deregistration of an incarnation is its last registration, whatever its number.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -18,7 +18,7 @@
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.coordination.upstream_checks import UpstreamChecks
 from lycheevalve.flows.lookups import LookupTable
-from lycheevalve.flows.upstreams import Upstreams
+from lycheevalve.flows.upstreams import Upstreams, version_of
 from lycheevalve.schema.generated import messages
 from lycheevalve.utils.addresses import parse_address
 
@@ -168,20 +168,33 @@
             self.answers.append((reply, True))
         self.answer_pending(now)
 
-    def find_registration(self, name):
-        """Return the newest registration with an upstream's name, or None."""
+    def find_registrations(self, name):
+        """Return the registrations with an upstream's name, the newest one last."""
         found = [
             upstream.registration
             for upstream in self.upstreams.by_address.values()
             if upstream.registration.name == name
         ]
-        return max(found, key=lambda r: (r.incarnation, r.sequence), default=None)
+        return sorted(found, key=version_of)
 
-    def deregister(self, name, reply, now):
-        """Deregister an upstream at its own request; acknowledge an unknown name at once."""
-        existing = self.find_registration(name)
-        if existing is None or existing.leaving:
-            self.answers.append((reply, True))
+    def deregister(self, name, incarnation, reply, now):
+        """
+        Deregister an incarnation of an upstream at its own request.
+
+        The call may be late, and the name in use again. One that does not say which incarnation
+        it is about (None) counts for an upstream that drains, as each does before it ends.
+        What can't be decided here is not acknowledged: another replica may know more.
+        """
+        found = self.find_registrations(name)
+        named = [r for r in found if incarnation in (None, r.incarnation)][-1:]
+        if not named:
+            is_earlier = any(r.incarnation > incarnation for r in found)
+            is_unknown = not found and self.subscriptions.reaches_most(now)
+            self.answers.append((reply, is_earlier or is_unknown))
+            return
+        existing = named[0]
+        if existing.leaving or (incarnation is None and not existing.draining):
+            self.answers.append((reply, existing.leaving))
             return
         deregistered = attrs.evolve(existing, leaving=True, sequence=existing.sequence + 1)
         self.handle_announcement(deregistered, reply, now)
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -72,9 +72,14 @@
 
 @attrs.frozen
 class Deregistration:
-    """The deregistration of an upstream by name; the answer goes to `reply`."""
+    """
+    The deregistration of an upstream; the answer goes to `reply`.
+
+    `incarnation` is None if the upstream does not say which one of that name it is.
+    """
 
     name: str
+    incarnation: int | None
     reply: object
 
 
@@ -272,14 +277,16 @@
         """Handle an upstream's announcement; raise UnavailableError if not acknowledged."""
         await self.ask_acknowledgement(Announcement, registration)
 
-    async def deregister(self, name):
+    async def deregister(self, name, incarnation):
         """Handle an upstream's deregistration; raise UnavailableError if not acknowledged."""
-        await self.ask_acknowledgement(Deregistration, name)
+        await self.ask_acknowledgement(Deregistration, name, incarnation)
 
     async def ask_acknowledgement(self, event, *details):
         """Wait for an acknowledgement; raise UnavailableError if there is none."""
         if not await self.ask(self.inbox, event, *details):
-            reason = "this replica is cut off from the other control replicas"
+            reason = (
+                "this replica is cut off from others, or does not know this upstream's state"
+            )
             raise UnavailableError(reason, "acknowledge", self.address)
 
     # Events.
@@ -328,7 +335,8 @@
 
     async def handle_deregistration(self, event):
         """Handle an upstream's deregistration."""
-        self.logic.deregister(event.name, event.reply, trio.current_time())
+        now = trio.current_time()
+        self.logic.deregister(event.name, event.incarnation, event.reply, now)
 
     async def handle_committed(self, event):
         """Apply what the replica has committed."""
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -129,8 +129,12 @@
 
 
 def version_of(registration):
-    """Return the sort key of the registrations of one address; the greatest is newest."""
-    return registration.incarnation, registration.sequence
+    """
+    Return the sort key of the registrations of one address; the greatest is newest.
+
+    A deregistration is the last one of its incarnation, whatever else arrives later.
+    """
+    return registration.incarnation, registration.leaving, registration.sequence
 
 
 @attrs.define
--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats of the platform's targets, converted to registrations of upstreams."""
+"""Calls of the platform's targets, converted to registrations of upstreams."""
 
 from lycheevalve.exceptions import AnnouncementError
 from lycheevalve.platform.strict_json import read_json
@@ -6,7 +6,7 @@
 from lycheevalve.schema.generated.messages import Registration
 from lycheevalve.utils.addresses import format_address, parse_address
 
-STEP = "read heartbeat"
+STEP = "read call"
 STATES = ("ready", "draining")
 # The lease of a target, counted in heartbeat intervals: without a heartbeat for this long
 # it gets no new flows.
@@ -15,21 +15,13 @@
 # answer to a lookup holds as many bytes of a name.
 MAX_TEXT_LENGTH = 255
 # JSON takes many times as much memory once it is read.
-MAX_HEARTBEAT_BYTES = 64 * 1024
+MAX_CALL_BYTES = 64 * 1024
 
 
 def read_heartbeat(name, body, heartbeat_ms):
     """Return the Registration of a heartbeat; raise AnnouncementError when it is invalid."""
     check_name(name)
-    if len(body) > MAX_HEARTBEAT_BYTES:
-        reason = f"a heartbeat of {len(body)} bytes exceeds {MAX_HEARTBEAT_BYTES}"
-        raise AnnouncementError(reason, STEP, name)
-    try:
-        value = read_json(body)
-    except ValueError as error:
-        raise AnnouncementError(f"heartbeat is not valid JSON: {error}", STEP, name) from error
-    if not isinstance(value, dict):
-        raise AnnouncementError("heartbeat must be a JSON object", STEP, name)
+    value = read_fields(name, body)
     state = read_string(value, "state", name)
     if state not in STATES:
         raise AnnouncementError(f"state must be ready or draining, not {state!r}", STEP, name)
@@ -58,6 +50,31 @@
     return registration
 
 
+def read_deregistration(name, body):
+    """
+    Return the incarnation of the target that deregisters, None if it doesn't say which one.
+
+    Raise AnnouncementError when the call is invalid.
+    """
+    check_name(name)
+    value = read_fields(name, body) if body.strip() else {}
+    return read_integer(value, "born", name) if "born" in value else None
+
+
+def read_fields(name, body):
+    """Return the fields of a call by name; raise AnnouncementError when it has none."""
+    if len(body) > MAX_CALL_BYTES:
+        reason = f"a call of {len(body)} bytes exceeds {MAX_CALL_BYTES}"
+        raise AnnouncementError(reason, STEP, name)
+    try:
+        value = read_json(body)
+    except ValueError as error:
+        raise AnnouncementError(f"the call is not valid JSON: {error}", STEP, name) from error
+    if not isinstance(value, dict):
+        raise AnnouncementError("the call must be a JSON object", STEP, name)
+    return value
+
+
 def check_name(name):
     """Raise AnnouncementError when the id of a target is empty or too long."""
     if not 0 < len(name) <= MAX_TEXT_LENGTH:
--- a/lycheevalve/platform/operators.py
+++ b/lycheevalve/platform/operators.py
@@ -10,7 +10,7 @@
 from lycheevalve.exceptions import AnnouncementError, SettingsError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.platform.documents import check_encodable, decompress_document, read_document
-from lycheevalve.platform.heartbeats import check_name, read_heartbeat
+from lycheevalve.platform.heartbeats import read_deregistration, read_heartbeat
 from lycheevalve.schema.generated.messages import Change
 
 # Method and path of each call; the id of a target follows the path of its calls.
@@ -144,8 +144,8 @@
 
 async def deregister(process, name, request):
     """Deregister a target."""
-    check_name(name)
-    await process.deregister(name)
+    incarnation = read_deregistration(name, request.body)
+    await process.deregister(name, incarnation)
     return build_json(200, {})
 
 
--- a/lycheevalve/tests/fakes/operators.py
+++ b/lycheevalve/tests/fakes/operators.py
@@ -88,9 +88,9 @@
         """Record a registration."""
         self.announced.append(registration)
 
-    async def deregister(self, name):
+    async def deregister(self, name, incarnation):
         """Record a deregistration."""
-        self.deregistered.append(name)
+        self.deregistered.append((name, incarnation))
 
     def count_call(self, name, status):
         """Record an answer."""
--- a/lycheevalve/tests/test_feeds.py
+++ b/lycheevalve/tests/test_feeds.py
@@ -148,7 +148,7 @@
     def test_repeated_deregistration_is_acknowledged(self):
         cluster = build_cluster()
         control = cluster.running[cluster.seeds[0]]
-        control.deregister("i-never-seen", "farewell", cluster.now)
+        control.deregister("i-never-seen", None, "farewell", cluster.now)
         cluster.step()
         assert "farewell" in cluster.acknowledged
 
@@ -157,7 +157,7 @@
         control = cluster.running[cluster.seeds[0]]
         first = build_registration(1)
         control.handle_announcement(first, "beat", cluster.now)
-        control.deregister(first.name, "farewell", cluster.now)
+        control.deregister(first.name, first.incarnation, "farewell", cluster.now)
         cluster.run(1.0)
         entry = cluster.running[cluster.entries[0]]
         assert entry.upstreams.usable("nightsync", cluster.now) == []
--- a/lycheevalve/tests/test_large_fleet.py
+++ b/lycheevalve/tests/test_large_fleet.py
@@ -255,11 +255,11 @@
         fleet.cuts = {frozenset((lone, other)) for other in fleet.seeds if other != lone}
         fleet.run_heartbeats(4.0)
         control = fleet.running[lone]
-        name = build_registration(1).name
-        control.deregister(name, "end", fleet.now)
+        ended = build_registration(1)
+        control.deregister(ended.name, ended.incarnation, "end", fleet.now)
         fleet.run(0.5)
         assert fleet.acknowledgements["end"] is False
-        assert not control.find_registration(name).leaving
+        assert not control.find_registrations(ended.name)[-1].leaving
 
     def test_drain_is_acknowledged_while_two_of_six_replicas_are_down(self):
         fleet = build_fleet()
--- a/lycheevalve/tests/test_platform.py
+++ b/lycheevalve/tests/test_platform.py
@@ -351,7 +351,10 @@
         assert call(process, "POST", path, build_heartbeat()).status == 200
         assert process.announced[0].name == "i-7f3a91c2"
         assert call(process, "POST", "/Instances.Deregister/i-7f3a91c2").status == 200
-        assert process.deregistered == ["i-7f3a91c2"]
+        body = encode({"born": 1_700_000_000_000, "sequence": 5})
+        assert call(process, "POST", "/Instances.Deregister/i-7f3a91c2", body).status == 200
+        names = [("i-7f3a91c2", None), ("i-7f3a91c2", 1_700_000_000_000)]
+        assert process.deregistered == names
 
     def test_invalid_heartbeat_registers_nothing(self):
         process = FakeProcess()
@@ -367,6 +370,13 @@
             ("/Instances.Heartbeat/", build_heartbeat()),
             ("/Instances.Deregister/", b""),
             ("/Instances.Deregister/" + "i" * 256, b""),
+            ("/Instances.Deregister/i-7", b"\x00"),
+            ("/Instances.Deregister/i-7", b"[]"),
+            ("/Instances.Deregister/i-7", encode({"born": None})),
+            ("/Instances.Deregister/i-7", encode({"born": "now"})),
+            ("/Instances.Deregister/i-7", encode({"born": 1.5})),
+            ("/Instances.Deregister/i-7", encode({"born": -1})),
+            ("/Instances.Deregister/i-7", b'{"born": 1, "born": 2}'),
             ("/Config.Replace", encode(build_value(2**63))),
         ],
     )
