Leave out an odd entry among the targets', and follow the others

An entry instance or replica that got a list with one entry without a usable address, from an earlier version or from a disk, failed at it, asked for all of the list again, and failed again: it stopped following the list. No process ended. Cause: some fields were optional or not read at all; addresses of no host, digits that aren't ASCII and numbers far beyond their meaning were read; nothing parted the entries of a list. Change: one table has the fields of a heartbeat, all required (`platform/heartbeats.py`), a start is before the year 2100 and a number is below 2^31, since later heartbeats with smaller ones are ignored. `flows/registrations.py` says why a registration names no upstream: the address is not that of a host, a service that the configuration doesn't name takes the address of an upstream in use, or a process changes its service. It is left out on each way (heartbeat, link, disk) and logged as `registration_left_out`; the others hold.

--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -18,9 +18,9 @@
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.coordination.upstream_checks import UpstreamChecks
 from lycheevalve.flows.lookups import LookupTable
+from lycheevalve.flows.registrations import describe, find_objection
 from lycheevalve.flows.upstreams import Upstreams, version_of
 from lycheevalve.schema.generated import messages
-from lycheevalve.utils.addresses import parse_address
 
 TICK_INTERVAL_SECONDS = 0.05
 EXPIRY_INTERVAL_SECONDS = 0.25
@@ -131,9 +131,23 @@
 
     # Upstreams.
 
+    def names_upstream(self, registration, now, source=""):
+        """Return whether a registration names an upstream to use; log why not."""
+        existing = self.upstreams.find_at(registration.address)
+        reason = find_objection(registration, existing, self.lookups.services, now)
+        if reason:
+            details = describe(registration)
+            self.observe("registration_left_out", source=source, reason=reason, **details)
+        return not reason
+
+    def adopt_registration(self, registration, now, source=""):
+        """Apply a registration of another replica or of the disk if it names an upstream."""
+        if self.names_upstream(registration, now, source):
+            self.apply_registration(registration, now, source)
+
     def apply_registration(self, registration, now, source=""):
-        """Apply a registration from an upstream or a replica; return whether it was newer."""
-        existing = self.upstreams.by_address.get(parse_address(registration.address))
+        """Apply a registration that names an upstream; return whether it was newer."""
+        existing = self.upstreams.find_at(registration.address)
         previous = existing.registration if existing is not None else None
         if not self.upstreams.update(registration, now):
             return False
@@ -155,7 +169,9 @@
         acknowledged.
         """
         is_end = registration.draining or registration.leaving
-        if is_end and not self.subscriptions.reaches_most(now):
+        if not self.names_upstream(registration, now):
+            self.answers.append((reply, False))
+        elif is_end and not self.subscriptions.reaches_most(now):
             if not registration.leaving:
                 self.apply_registration(registration, now)
             self.answers.append((reply, False))
@@ -351,7 +367,7 @@
         self.subscriptions.handle_news(sender, news, now)
         self.subscriptions.choose_active(now)
         for registration in news.registrations:
-            self.apply_registration(registration, now, sender)
+            self.adopt_registration(registration, now, sender)
         self.evacuations.adopt(news.evacuations, now)
         self.departures.end(sender, news.feed)
         if sender in (news.leaving or ()):
--- a/lycheevalve/coordination/feeds.py
+++ b/lycheevalve/coordination/feeds.py
@@ -15,7 +15,6 @@
 import attrs
 
 from lycheevalve.schema.generated.messages import News
-from lycheevalve.utils.addresses import parse_address
 
 # A poll without urgent updates is answered after this time.
 LONG_POLL_SECONDS = 0.5
@@ -261,7 +260,7 @@
 
     def find_registration(self, address):
         """Return the newest registration at an address, or None."""
-        upstream = self.upstreams.by_address.get(parse_address(address))
+        upstream = self.upstreams.find_at(address)
         return upstream.registration if upstream is not None else None
 
 
--- a/lycheevalve/daemon/upstream_store.py
+++ b/lycheevalve/daemon/upstream_store.py
@@ -40,7 +40,7 @@
         now = trio.current_time()
         for registration in registrations:
             with contain("stored upstream"):
-                self.logic.apply_registration(registration, now)
+                self.logic.adopt_registration(registration, now)
         record("upstreams_recalled", upstreams=len(registrations))
 
     async def run(self):
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -21,10 +21,10 @@
 from lycheevalve.flows.isolation import has_local_capacity, reaches_other_data_centres
 from lycheevalve.flows.link_scheduler import build_scheduler
 from lycheevalve.flows.lost_upstreams import LostUpstreams
+from lycheevalve.flows.registrations import describe, find_objection
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.reports.latencies import Latencies
 from lycheevalve.schema.generated import messages
-from lycheevalve.utils.addresses import parse_address
 
 # All periodic work of an idle instance is done at the same time: each wake-up has a cost.
 TICK_INTERVAL_SECONDS = 0.25
@@ -338,8 +338,7 @@
             else:
                 self.record_expiry(registration)
         self.update_sources(now)
-        addresses = [parse_address(r.address) for r in update.registrations]
-        known = [self.upstreams.by_address.get(address) for address in addresses]
+        known = [self.upstreams.find_at(r.address) for r in update.registrations]
         self.update_leases([upstream for upstream in known if upstream is not None], now)
         self.dissemination.update_peer(sender, update.applied, update.held, now, update.current)
         if not self.dissemination.ready:
@@ -380,7 +379,13 @@
 
     def update_upstream(self, registration, sender, now):
         """Apply an upstream's registration; record an event unless it only renews the lease."""
-        current = self.upstreams.by_address.get(parse_address(registration.address))
+        current = self.upstreams.find_at(registration.address)
+        # The control replicas have the newest services, and leave out the others.
+        reason = find_objection(registration, current, (), now)
+        if reason:
+            details = describe(registration)
+            self.observe("registration_left_out", source=sender, reason=reason, **details)
+            return
         previous = current.registration if current is not None else None
         if self.cookie_router.update_upstream(registration, now) and not is_renewal(
             registration, previous
--- a/lycheevalve/flows/announcements.py
+++ b/lycheevalve/flows/announcements.py
@@ -13,8 +13,9 @@
 
 from lycheevalve.exceptions import AnnouncementError
 from lycheevalve.flows import coap
+from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Registration
-from lycheevalve.utils.addresses import parse_address
+from lycheevalve.utils.addresses import parse_host_address
 
 PATH = ("rd",)
 MAX_LIFETIME_SECONDS = 3600
@@ -67,7 +68,7 @@
     try:
         numbers = {name: int(values[name]) for name in NUMBER_PARAMETERS}
         address = values["base"].removeprefix("coap://")
-        parse_address(address)
+        parse_host_address(address)
     except ValueError as error:
         raise AnnouncementError(
             f"invalid number or address: {error}", "read announcement"
@@ -77,7 +78,7 @@
             f"lt must be from 1 to {MAX_LIFETIME_SECONDS}, other numbers at least 0",
             "read announcement",
         )
-    return Registration(
+    registration = Registration(
         service_name=values["d"],
         address=address,
         data_centre=values["dc"],
@@ -91,6 +92,10 @@
         sessions=numbers["sessions"],
         **{name: values.get(name) == "1" for name in FLAG_PARAMETERS},
     )
+    reason = find_error(registration)
+    if reason:
+        raise AnnouncementError(reason, "read announcement")
+    return registration
 
 
 def check_registration(registration, services):
--- /dev/null
+++ b/lycheevalve/flows/registrations.py
@@ -0,0 +1,43 @@
+"""
+Registrations that name no upstream to use, although each field by itself is valid.
+
+They come from another writer, from an earlier version of this program, or from the disk. Such a
+one is left out, and all others hold: it must neither end the handling of a list nor take the
+place of an upstream that serves.
+"""
+
+from lycheevalve.flows.upstreams import UpstreamState, find_address
+
+
+def find_objection(registration, current, services, now):
+    """
+    Return why a registration names no upstream, or an empty string.
+
+    `current` is the upstream at its address or None, `services` the names of the services of
+    the configuration, empty if they are not known.
+    """
+    if find_address(registration.address) is None:
+        return f"{registration.address!r} is not the address of a host"
+    if current is None or current.state(now) is UpstreamState.GONE:
+        return ""
+    if registration.service_name == current.service:
+        return ""
+    if is_same_process(registration, current.registration):
+        return f"the same upstream serves {current.service!r} since its start"
+    if registration.service_name not in services and current.service in services:
+        return f"unknown service at the address of an upstream of {current.service!r}"
+    return ""
+
+
+def is_same_process(one, other):
+    """Return whether two registrations are of one process, as far as their names say."""
+    return (one.name, one.incarnation) == (other.name, other.incarnation)
+
+
+def describe(registration):
+    """Return the fields of an event about a registration that is left out."""
+    return {
+        "upstream": registration.name,
+        "address": registration.address,
+        "service": registration.service_name,
+    }
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lycheevalve.utils.addresses import parse_address
+from lycheevalve.utils.addresses import parse_host_address
 
 # The longest time that a datagram or an update is in transit.
 MAX_TRANSIT_SECONDS = 1.0
@@ -128,6 +128,14 @@
         return min(1.0, MIN_WARM_UP_SHARE + (1 - MIN_WARM_UP_SHARE) * share)
 
 
+def find_address(text):
+    """Return the (ip, port) of an upstream's address, or None if it is not that of a host."""
+    try:
+        return parse_host_address(text)
+    except ValueError:
+        return None
+
+
 def version_of(registration):
     """
     Return the sort key of the registrations of one address; the greatest is newest.
@@ -152,8 +160,14 @@
     next_index: int = 1
 
     def update(self, registration, now):
-        """Apply a registration; return whether it is newer than the current one."""
-        address = parse_address(registration.address)
+        """
+        Apply a registration; return whether it is newer than the current one.
+
+        One without the address of a host names no upstream.
+        """
+        address = find_address(registration.address)
+        if address is None:
+            return False
         current = self.by_address.get(address)
         if current is not None and version_of(registration) <= version_of(current.registration):
             return False
@@ -233,6 +247,10 @@
         report_seconds = 2 * heartbeat_seconds + REPORT_MARGIN_SECONDS
         return [u for u in upstreams if not self.is_warming_up(u, now, report_seconds)]
 
+    def find_at(self, address):
+        """Return the newest upstream at an address (as text), or None."""
+        return self.by_address.get(find_address(address))
+
     def find(self, address, incarnation):
         """Return the upstream of an address (as text) and incarnation, or None."""
         return self.by_identity.get((address, incarnation))
@@ -251,8 +269,7 @@
         if addresses is None:
             upstreams = self.by_address.values()
         else:
-            keys = [parse_address(address) for address in addresses]
-            upstreams = [self.by_address[key] for key in keys if key in self.by_address]
+            upstreams = filter(None, map(self.find_at, addresses))
         return [
             attrs.evolve(
                 upstream.registration,
--- a/lycheevalve/logs/schema.py
+++ b/lycheevalve/logs/schema.py
@@ -25,6 +25,13 @@
         "Update of an upstream: up, draining or gone; `source` is the replica that sent it.",
         {**UPSTREAM_FIELDS, "service": str, "data_centre": str, "state": str, "source": str},
     ),
+    Event(
+        "registration_left_out",
+        INFO,
+        "A registration names no upstream to use; `source` is the replica that sent it.",
+        {"upstream": str, "address": str, "service": str, "source": str, "reason": str},
+        MAX_BAD_INPUT_LINES_PER_SECOND,
+    ),
     Event(
         "evacuations",
         INFO,
--- a/lycheevalve/platform/heartbeats.py
+++ b/lycheevalve/platform/heartbeats.py
@@ -4,7 +4,7 @@
 from lycheevalve.platform.strict_json import read_json
 from lycheevalve.schema.encodable import find_error
 from lycheevalve.schema.generated.messages import Registration
-from lycheevalve.utils.addresses import format_address, parse_address
+from lycheevalve.utils.addresses import format_address, parse_host_address
 
 STEP = "read call"
 STATES = ("ready", "draining")
@@ -16,33 +16,28 @@
 MAX_TEXT_LENGTH = 255
 # JSON takes many times as much memory once it is read.
 MAX_CALL_BYTES = 64 * 1024
+MAX_INTEGER = 2**31 - 1
+# The year 2100: later heartbeats of a target that started before a larger time are ignored.
+MAX_START_MS = 4_102_444_800_000
 
 
 def read_heartbeat(name, body, heartbeat_ms):
     """Return the Registration of a heartbeat; raise AnnouncementError when it is invalid."""
     check_name(name)
-    value = read_fields(name, body)
-    state = read_string(value, "state", name)
-    if state not in STATES:
-        raise AnnouncementError(f"state must be ready or draining, not {state!r}", STEP, name)
-    address = read_string(value, "address", name)
-    try:
-        # One spelling, since parts of an instance find upstreams by the text.
-        address = format_address(parse_address(address))
-    except ValueError as error:
-        raise AnnouncementError(str(error), STEP, name) from error
+    fields = read_fields(name, body)
+    values = {key: read(fields, key, name) for key, read in HEARTBEAT_FIELDS.items()}
     registration = Registration(
-        service_name=read_string(value, "service", name),
-        address=address,
-        data_centre=read_string(value, "zone", name),
+        service_name=values["service"],
+        address=values["address"],
+        data_centre=values["zone"],
         # The start time of the target, since a restarted target may keep its id.
-        incarnation=read_integer(value, "born", name, default=0),
-        sequence=read_integer(value, "sequence", name),
+        incarnation=values["born"],
+        sequence=values["sequence"],
         lifetime_ms=LEASE_HEARTBEATS * heartbeat_ms,
-        slots=read_integer(value, "slots", name),
-        draining=state == "draining",
+        slots=values["slots"],
+        draining=values["state"] == "draining",
         name=name,
-        warm_up_ms=read_integer(value, "warmupLeftMs", name, default=0),
+        warm_up_ms=values["warmupLeftMs"],
     )
     reason = find_error(registration)
     if reason:
@@ -58,7 +53,7 @@
     """
     check_name(name)
     value = read_fields(name, body) if body.strip() else {}
-    return read_integer(value, "born", name) if "born" in value else None
+    return read_start_time(value, "born", name) if "born" in value else None
 
 
 def read_fields(name, body):
@@ -91,9 +86,46 @@
     return text
 
 
-def read_integer(value, key, name, default=None):
-    """Return an integer field from 0 to 2**62 - 1; raise AnnouncementError for other values."""
-    number = value.get(key, default)
-    if not isinstance(number, int) or isinstance(number, bool) or not 0 <= number < 2**62:
-        raise AnnouncementError(f"{key} must be an integer from 0 to 2**62 - 1", STEP, name)
+def read_state(value, key, name):
+    """Return one of STATES; raise AnnouncementError for any other value."""
+    state = read_string(value, key, name)
+    if state not in STATES:
+        raise AnnouncementError(f"{key} must be ready or draining, not {state!r}", STEP, name)
+    return state
+
+
+def read_address(value, key, name):
+    """Return the address of a host as `ip:port`; raise AnnouncementError for other values."""
+    try:
+        # One spelling, since parts of an instance find upstreams by the text.
+        return format_address(parse_host_address(read_string(value, key, name)))
+    except ValueError as error:
+        raise AnnouncementError(str(error), STEP, name) from error
+
+
+def read_integer(value, key, name, limit=MAX_INTEGER):
+    """Return an integer field from 0 to `limit`; raise AnnouncementError for other values."""
+    number = value.get(key)
+    if not isinstance(number, int) or isinstance(number, bool) or not 0 <= number <= limit:
+        raise AnnouncementError(f"{key} must be an integer from 0 to {limit}", STEP, name)
     return number
+
+
+def read_start_time(value, key, name):
+    """Return a time in Unix milliseconds; raise AnnouncementError for other values."""
+    return read_integer(value, key, name, MAX_START_MS)
+
+
+# All fields are required: a heartbeat without one of them names no target to use. `version`,
+# that of the target's software, is not used.
+HEARTBEAT_FIELDS = {
+    "service": read_string,
+    "address": read_address,
+    "zone": read_string,
+    "version": read_string,
+    "slots": read_integer,
+    "state": read_state,
+    "warmupLeftMs": read_integer,
+    "sequence": read_integer,
+    "born": read_start_time,
+}
--- a/lycheevalve/tests/test_bad_inputs.py
+++ b/lycheevalve/tests/test_bad_inputs.py
@@ -116,7 +116,9 @@
     "an unsigned frame": struct.pack(">I", 40) + bytes([0x4C, 1, 33, 0]) + bytes(36),
     "random bytes": random.Random(2).randbytes(2000),
 }
-ODD_ADDRESSES = ("255.255.255.255:1", "0.0.0.0:1", "224.0.0.1:9", "10.0.0.0:65535")
+# Addresses that name no host, and one of a host that does not answer.
+ODD_ADDRESSES = ("255.255.255.255:1", "0.0.0.0:1", "224.0.0.1:9")
+SILENT_ADDRESS = "10.0.0.0:65535"
 
 
 class RunningSite:
@@ -224,6 +226,56 @@
         running.close()
 
 
+@pytest.fixture(scope="class")
+def fresh_site(tmp_path_factory):
+    """Return a RunningSite whose target has not been announced yet."""
+    running = RunningSite(tmp_path_factory.mktemp("odd"))
+    try:
+        body = build_configuration(next(running.numbers))
+        assert running.call("POST", REPLACE, body)[0] == 200
+        yield running
+    finally:
+        running.close()
+
+
+class TestOddEntries:
+    """
+    Odd entries among those of the targets, and a target that comes later.
+
+    Guards against a list that is not followed any more after an odd entry: the target is found
+    and gets packets, whatever was announced before it.
+    """
+
+    def test_target_is_found_after_thousands_of_odd_entries(self, fresh_site):
+        bodies = [
+            *(insert(build_heartbeat(), b"[" * n + b"]" * n) for n in (100, 30_000)),
+            *(build_heartbeat(slots=10**n) for n in (10, 300, 4000)),
+            *(build_heartbeat(address=f"127.0.0.9:{10**n}") for n in (5, 50, 200)),
+            *(build_heartbeat(address=address) for address in ODD_ADDRESSES),
+            *(build_heartbeat(born=value) for value in (None, 2**62, 10**300)),
+            build_heartbeat(service="never seen", born=4_000_000_000_000),
+        ]
+        connection = http.client.HTTPConnection(
+            *fresh_site.control.address("operators"), timeout=TIMEOUT_SECONDS
+        )
+        for number in range(2000):
+            path = f"/Instances.Heartbeat/i-{number % 8:x}"
+            connection.request("POST", path, bodies[number % len(bodies)])
+            connection.getresponse().read()
+        connection.close()
+        fresh_site.check()
+
+    @pytest.mark.parametrize("name", ["i-7", "i-8"])
+    def test_entry_of_an_unknown_service_takes_no_address(self, fresh_site, name):
+        """It took the target's address with a later start, or its name with a later number."""
+        fresh_site.check()
+        address = f"{TARGET_HOST}:{fresh_site.target.getsockname()[1]}"
+        start = 1_700_000_000_000 if name == "i-7" else 1_800_000_000_000
+        body = build_heartbeat(service="x", address=address, born=start, sequence=10**6)
+        assert fresh_site.call("POST", f"/Instances.Heartbeat/{name}", body)[0] == 503
+        fresh_site.check()
+
+
 class TestBadInputs:
     """No input ends a process, or keeps it from serving others."""
 
@@ -269,9 +321,16 @@
         site.check()
 
     @pytest.mark.parametrize("address", ODD_ADDRESSES)
-    def test_addresses_that_cannot_be_reached(self, site, address):
-        """The system refuses to send to some addresses, which a heartbeat may name."""
+    def test_addresses_of_no_host(self, site, address):
+        """The system refuses to send to them; a heartbeat may name them."""
         body = build_heartbeat(service="b", zone="dc1", address=address)
+        assert site.call("POST", HEARTBEAT, body)[0] == 400
+        for number in range(5):
+            site.send_packet(ODD_PORT, 30_000 + number)
+        site.check()
+
+    def test_address_that_does_not_answer(self, site):
+        body = build_heartbeat(service="b", zone="dc1", address=SILENT_ADDRESS)
         assert site.call("POST", HEARTBEAT, body)[0] == 200
         for number in range(5):
             site.send_packet(ODD_PORT, 30_000 + number)
--- /dev/null
+++ b/lycheevalve/tests/test_odd_registrations.py
@@ -0,0 +1,113 @@
+"""Registrations that name no upstream, from an earlier version, over links and from disk."""
+
+import pytest
+
+from lycheevalve.coordination.feeds import Feed
+from lycheevalve.coordination.upstream_cache import read_upstream_cache, write_upstream_cache
+from lycheevalve.logs.schema import validate_event
+from lycheevalve.schema.generated.messages import LeaseQuery, Registrations
+from lycheevalve.tests.fakes.control_cluster import ControlCluster
+from lycheevalve.tests.fakes.entry import build_registration
+
+LIFETIME_MS = 600_000
+ODD_ADDRESSES = [
+    "",
+    "nowhere",
+    "10.0.0.1:0",
+    "10.0.0.1:70000",
+    "0.0.0.0:1",
+    "255.255.255.255:1",
+]
+
+
+def list_found(cluster):
+    """Return the names of the upstreams that each entry instance may use."""
+    tables = [cluster.running[address].upstreams for address in cluster.entries]
+    return [
+        sorted(u.registration.name for u in t.usable("nightsync", cluster.now)) for t in tables
+    ]
+
+
+class TestLists:
+    """
+    Lists of registrations with an odd one among them.
+
+    Guards against a list that is not followed any more: the error of one entry kept all later
+    ones from being applied, again at each poll.
+    """
+
+    @pytest.mark.parametrize("address", ODD_ADDRESSES)
+    def test_others_are_followed(self, monkeypatch, address):
+        cluster = ControlCluster(controls=2)
+        cluster.run(1.0)
+        earlier = cluster.running[cluster.seeds[0]]
+        odd = build_registration(5, address=address, lifetime_ms=LIFETIME_MS)
+        sound = build_registration(6, lifetime_ms=LIFETIME_MS)
+        # An earlier version lists what it has accepted.
+        list_updates = Feed.list_updates
+        monkeypatch.setattr(Feed, "list_updates", lambda *args: [odd, *list_updates(*args)])
+        earlier.handle_announcement(sound, "beat", cluster.now)
+        cluster.run(1.0)
+        assert list_found(cluster) == [[sound.name]] * 2
+        other = cluster.running[cluster.seeds[1]]
+        assert list(other.upstreams.by_identity) == [(sound.address, sound.incarnation)]
+        left_out = [d for _, name, d in cluster.events if name == "registration_left_out"]
+        assert left_out
+        assert validate_event("registration_left_out", left_out[0]) == []
+
+    def test_stored_ones(self, tmp_path):
+        cluster = ControlCluster(controls=1)
+        odd = [build_registration(5, address=address) for address in ODD_ADDRESSES]
+        sound = build_registration(6)
+        write_upstream_cache(tmp_path, [*odd, sound])
+        replica = cluster.running[cluster.seeds[0]]
+        for registration in read_upstream_cache(tmp_path):
+            replica.adopt_registration(registration, cluster.now)
+        cluster.run(1.0)
+        assert list_found(cluster) == [[sound.name]] * 2
+
+    def test_instances_without_control_replicas(self):
+        """They send each other registrations, and queries for leases by address."""
+        cluster = ControlCluster(controls=1, entries=0)
+        upstreams = cluster.running[cluster.seeds[0]].upstreams
+        odd = [build_registration(5, address=address) for address in ODD_ADDRESSES]
+        sound = build_registration(6, lifetime_ms=LIFETIME_MS)
+        message = Registrations([*odd, sound])
+        for registration in message.registrations:
+            upstreams.update(registration, cluster.now)
+        query = LeaseQuery([*ODD_ADDRESSES, sound.address])
+        found = upstreams.live_leases(cluster.now, query.addresses)
+        assert [registration.name for registration in found] == [sound.name]
+
+
+class TestTakenAddresses:
+    """Registrations at the address of an upstream in use."""
+
+    def announce(self, **values):
+        """Announce a sound upstream and another one at its address; return what is found."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(1.0)
+        cluster.commit(3)
+        replica = cluster.running[cluster.seeds[0]]
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        replica.handle_announcement(sound, "sound", cluster.now)
+        other = build_registration(1, **({"lifetime_ms": LIFETIME_MS} | values))
+        replica.handle_announcement(other, "other", cluster.now)
+        cluster.run(1.0)
+        return cluster.acknowledgements["other"], list_found(cluster)
+
+    def test_unknown_service_takes_none(self):
+        found = self.announce(service="never seen", name="i-odd", incarnation=9000)
+        assert found == (False, [["i-00000001"]] * 2)
+
+    def test_same_process_does_not_change_its_service(self):
+        """A copy of a heartbeat with another service and a later number displaced it."""
+        found = self.announce(service="restreport", sequence=9)
+        assert found == (False, [["i-00000001"]] * 2)
+
+    def test_address_is_reused_by_another_service(self):
+        found = self.announce(service="restreport", name="i-next", incarnation=9000)
+        assert found == (True, [[]] * 2)
+
+    def test_address_is_reused_by_the_same_service(self):
+        assert self.announce(name="i-next", incarnation=9000) == (True, [["i-next"]] * 2)
