Part modules that had grown beyond one subject

Change: the events of announcements stand with the other events, the settings of the log's task with the other settings, the judgement of a deregistration with that of registrations, and reported leases in a module of their own.

--- a/lycheevalve/config/roles.py
+++ b/lycheevalve/config/roles.py
@@ -1,5 +1,7 @@
 """Settings of one entry or control process of a site that routes flows by cookies."""
 
+import attrs
+
 from lycheevalve.config import options
 from lycheevalve.config.files import raise_findings, read_toml
 from lycheevalve.config.instance import LOG_LEVELS
@@ -39,6 +41,14 @@
 }
 
 
+@attrs.frozen
+class ReplicaSettings:
+    """The settings that ReplicaTask reads: its name and the configured replicas."""
+
+    name: str
+    replicas: list
+
+
 def load_role_settings(path):
     """
     Return the Role of a settings file.
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -18,7 +18,12 @@
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.coordination.upstream_checks import UpstreamChecks
 from lycheevalve.flows.lookups import LookupTable
-from lycheevalve.flows.registrations import describe, find_objection
+from lycheevalve.flows.registrations import (
+    describe,
+    find_deregistered,
+    find_objection,
+    has_ended,
+)
 from lycheevalve.flows.upstreams import Upstreams, version_of
 from lycheevalve.schema.generated import messages
 
@@ -186,31 +191,22 @@
 
     def find_registrations(self, name):
         """Return the registrations with an upstream's name, the newest one last."""
-        found = [
-            upstream.registration
-            for upstream in self.upstreams.by_address.values()
-            if upstream.registration.name == name
-        ]
-        return sorted(found, key=version_of)
+        registrations = (u.registration for u in self.upstreams.by_address.values())
+        return sorted((r for r in registrations if r.name == name), key=version_of)
 
     def deregister(self, name, incarnation, reply, now):
         """
         Deregister an incarnation of an upstream at its own request.
 
-        The call may be late, and the name in use again. One that does not say which incarnation
-        it is about (None) counts for an upstream that drains, as each does before it ends.
-        What can't be decided here is not acknowledged: another replica may know more.
+        The call may be late, and the name in use again. An incarnation that has ended is
+        acknowledged; one that is not known here is not, as another replica may know more.
         """
         found = self.find_registrations(name)
-        named = [r for r in found if incarnation in (None, r.incarnation)][-1:]
-        if not named:
-            is_earlier = any(r.incarnation > incarnation for r in found)
+        existing = find_deregistered(found, incarnation)
+        if existing is None:
+            is_ended = has_ended(found, incarnation)
             is_unknown = not found and self.subscriptions.reaches_most(now)
-            self.answers.append((reply, is_earlier or is_unknown))
-            return
-        existing = named[0]
-        if existing.leaving or (incarnation is None and not existing.draining):
-            self.answers.append((reply, existing.leaving))
+            self.answers.append((reply, is_ended or is_unknown))
             return
         deregistered = attrs.evolve(existing, leaving=True, sequence=existing.sequence + 1)
         self.handle_announcement(deregistered, reply, now)
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -2,10 +2,9 @@
 
 from pathlib import Path
 
-import attrs
 import trio
 
-from lycheevalve.config.roles import link_addresses
+from lycheevalve.config.roles import ReplicaSettings, link_addresses
 from lycheevalve.control import ControlReplica
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.configuration import accept_all as accept_checked
@@ -18,8 +17,10 @@
     run_unit,
 )
 from lycheevalve.daemon.events import (
+    Announcement,
     Batch,
     Committed,
+    Deregistration,
     Learners,
     Query,
     Received,
@@ -62,35 +63,6 @@
 SHUTDOWN_SECONDS = 0.4
 
 
-@attrs.frozen
-class Announcement:
-    """An upstream's registration; the answer goes to `reply`."""
-
-    registration: object
-    reply: object
-
-
-@attrs.frozen
-class Deregistration:
-    """
-    The deregistration of an upstream; the answer goes to `reply`.
-
-    `incarnation` is None if the upstream does not say which one of that name it is.
-    """
-
-    name: str
-    incarnation: int | None
-    reply: object
-
-
-@attrs.frozen
-class ReplicaSettings:
-    """The settings that ReplicaTask reads: its name and the configured replicas."""
-
-    name: str
-    replicas: list
-
-
 class ControlProcess(RoleProcess):
     """
     One control replica.
--- a/lycheevalve/daemon/events.py
+++ b/lycheevalve/daemon/events.py
@@ -73,3 +73,24 @@
 @attrs.frozen
 class Resumed:
     """The process resumed after a pause; what it received before may be outdated."""
+
+
+@attrs.frozen
+class Announcement:
+    """An upstream's registration; the answer goes to `reply`."""
+
+    registration: object
+    reply: object
+
+
+@attrs.frozen
+class Deregistration:
+    """
+    The deregistration of an upstream; the answer goes to `reply`.
+
+    `incarnation` is None if the upstream does not say which one of that name it is.
+    """
+
+    name: str
+    incarnation: int | None
+    reply: object
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -6,14 +6,12 @@
 sends what is queued in `messages`, and provides the functions that send packets.
 """
 
-import math
-
 import attrs
 
 from lycheevalve.coordination.dissemination import Dissemination
 from lycheevalve.coordination.evacuations import AppliedEvacuations
 from lycheevalve.coordination.feeds import is_renewal
-from lycheevalve.coordination.subscriptions import LEASE_EXTENSION_SECONDS, Subscriptions
+from lycheevalve.coordination.subscriptions import Subscriptions
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.flows.cookie_routing import CookieRouter
 from lycheevalve.flows.failure_evidence import FailureDetector
@@ -22,6 +20,7 @@
 from lycheevalve.flows.link_scheduler import build_scheduler
 from lycheevalve.flows.lost_upstreams import LostUpstreams
 from lycheevalve.flows.registrations import describe, find_objection
+from lycheevalve.flows.reported_leases import update_leases
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.reports.latencies import Latencies
 from lycheevalve.schema.generated import messages
@@ -339,35 +338,15 @@
                 self.record_expiry(registration)
         self.update_sources(now)
         known = [self.upstreams.find_at(r.address) for r in update.registrations]
-        self.update_leases([upstream for upstream in known if upstream is not None], now)
+        self.update_leases(filter(None, known), now)
         self.dissemination.update_peer(sender, update.applied, update.held, now, update.current)
         if not self.dissemination.ready:
             self.dissemination.tick(now)
         self.cookie_router.retry_held(now)
 
     def update_leases(self, upstreams, now):
-        """
-        Set whether the leases of upstreams hold, as the sources report it.
-
-        An expired lease holds again only after a newer registration: a replica that was
-        paused still reports the leases of before. Without any source a lease holds for at
-        most LEASE_EXTENSION_SECONDS; one that is renewed by registrations ends with its
-        lifetime.
-        """
-        sources = self.lease_sources
-        is_complete = self.subscriptions.is_settled(now)
-        is_lost = now - self.subscriptions.last_answer_at(now) > LEASE_EXTENSION_SECONDS
-        is_renewed = not sources and bool(self.subscriptions.in_contact(now))
-        for upstream in upstreams:
-            if self.subscriptions.is_leased(upstream.registration, sources):
-                if upstream.expires_at > now:
-                    upstream.expires_at = math.inf
-            elif upstream.expires_at < math.inf:
-                continue
-            elif is_renewed:
-                upstream.expires_at = now + upstream.registration.lifetime_ms / 1000
-            elif is_lost or (sources and is_complete):
-                upstream.expires_at = now
+        """Set whether the leases of upstreams hold, as the sources report it."""
+        update_leases(upstreams, self.subscriptions, self.lease_sources, now)
 
     def record_expiry(self, registration):
         """Record up to which announcement an upstream's lease has expired at a source."""
--- a/lycheevalve/flows/registrations.py
+++ b/lycheevalve/flows/registrations.py
@@ -1,9 +1,10 @@
 """
-Registrations that name no upstream to use, although each field by itself is valid.
+Which upstream a registration or a deregistration is about, if any.
 
-They come from another writer, from an earlier version of this program, or from the disk. Such a
-one is left out, and all others hold: it must neither end the handling of a list nor take the
-place of an upstream that serves.
+Registrations may name no upstream to use, although each field by itself is valid. They come
+from another writer, from an earlier version of this program, or from the disk. Such a one is
+left out, and all others hold: it must neither end the handling of a list nor take the place
+of an upstream that serves.
 """
 
 from lycheevalve.flows.upstreams import UpstreamState, find_address
@@ -34,6 +35,29 @@
     return (one.name, one.incarnation) == (other.name, other.incarnation)
 
 
+def find_deregistered(registrations, incarnation):
+    """
+    Return which of the registrations with one name a deregistration ends, or None.
+
+    A call that names no incarnation (None) ends an upstream that drains, as each does before
+    its end: one that is up has come after the call.
+    """
+    for registration in reversed(registrations):
+        is_named = registration.incarnation == incarnation
+        is_draining = incarnation is None and registration.draining
+        if (is_named or is_draining) and not registration.leaving:
+            return registration
+    return None
+
+
+def has_ended(registrations, incarnation):
+    """Return whether an incarnation, None for the newest, is known to have ended."""
+    newest = registrations[-1] if registrations else None
+    if newest is None or incarnation in (None, newest.incarnation):
+        return newest is not None and newest.leaving
+    return newest.incarnation > incarnation
+
+
 def describe(registration):
     """Return the fields of an event about a registration that is left out."""
     return {
--- a/lycheevalve/tests/fakes/replica_task.py
+++ b/lycheevalve/tests/fakes/replica_task.py
@@ -7,12 +7,12 @@
 import trio
 import trio.testing
 
+from lycheevalve.config.roles import ReplicaSettings
 from lycheevalve.coordination import storage
 from lycheevalve.coordination.configuration import Outcome
 from lycheevalve.coordination.configuration import accept_all as accept_checked
 from lycheevalve.coordination.log import EntryKind
 from lycheevalve.coordination.replica import Role
-from lycheevalve.daemon.control import ReplicaSettings
 from lycheevalve.daemon.events import Query, Received, ReplicaView
 from lycheevalve.daemon.replica_task import ReplicaTask
 from lycheevalve.schema.generated.messages import Append, Appended, Entry, Vote, VoteRequest
