Send late calls and odd heartbeats in the soak

Cause, found while the soak was written: a replica that has just started doesn't know the upstreams in use, so that an unknown service could take the address of one there, and from there at the instances. It leaves such a registration out until its table is complete. Change: one upstream of the soak starts again and again under its name, while its earlier calls arrive late at some replica, and heartbeats with one odd field each; one that is acknowledged is a violation. Measured: the test of the replica fails without the change.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,6 +19,7 @@
 from bench.production import ProductionError, extract_to_target, read_commit
 from bench.soak.callers import Caller
 from bench.soak.events import EventScheduler
+from bench.soak.late_calls import run_reborn_upstream
 from bench.soak.operator import Operator
 from bench.soak.series import play_seeds
 from bench.soak.site import ZONES, Site
@@ -67,6 +68,9 @@
         for task in (operator.run_changes, operator.run_reads, operator.run_evacuations):
             nursery.start_soon(task)
         nursery.start_soon(operator.check_in_force, callers)
+        if len(site.trees) == 1:
+            # Earlier versions act on late calls and odd heartbeats.
+            nursery.start_soon(run_reborn_upstream, site, nursery, seed)
         nursery.start_soon(site.keep_connections)
         await events.run(seconds)
         await events.upgrade_all()
--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -9,10 +9,9 @@
 from bench.soak.http_client import call
 from bench.soak.inputs import Intruder
 from bench.soak.site import CONTROL_PORT, LINK_PORT, SERVICES, ZONES
-from bench.soak.upstreams import Upstream
+from bench.soak.upstreams import UPSTREAM_HOST_LIMIT, UPSTREAM_PORT, Upstream
 from lycheevalve.tests.fakes.platform import REPLACE_PATH
 
-UPSTREAM_PORT = 8080
 UPSTREAM_COUNTS = {SERVICES[0]: 6, SERVICES[1]: 4}
 # The address of a stopped upstream is reused after this time.
 ADDRESS_REUSE_DELAY_SECONDS = 2.0
@@ -31,7 +30,7 @@
         self.intruder = Intruder(site.intruder_ip, random.Random(seed))
         self.log = log
         self.upstreams = {}
-        self.free_hosts = list(range(1, 200))
+        self.free_hosts = list(range(1, UPSTREAM_HOST_LIMIT))
         self.upstream_count = 0
         # Names of the machines that a running event uses.
         self.busy = set()
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -23,6 +23,9 @@
 )
 from lycheevalve.utils.addresses import format_address
 
+UPSTREAM_PORT = 8080
+# The last number of the addresses of upstreams is below this one.
+UPSTREAM_HOST_LIMIT = 200
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 REQUEST_DURATION_SECONDS = 0.01
 # A few requests take longer than a caller's second retransmission; no flow may break.
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -139,7 +139,9 @@
     def names_upstream(self, registration, now, source=""):
         """Return whether a registration names an upstream to use; log why not."""
         existing = self.upstreams.find_at(registration.address)
-        reason = find_objection(registration, existing, self.lookups.services, now)
+        is_complete = self.feed.is_settled(now)
+        services = self.lookups.services
+        reason = find_objection(registration, existing, now, services, is_complete)
         if reason:
             details = describe(registration)
             self.observe("registration_left_out", source=source, reason=reason, **details)
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -360,7 +360,7 @@
         """Apply an upstream's registration; record an event unless it only renews the lease."""
         current = self.upstreams.find_at(registration.address)
         # The control replicas have the newest services, and leave out the others.
-        reason = find_objection(registration, current, (), now)
+        reason = find_objection(registration, current, now)
         if reason:
             details = describe(registration)
             self.observe("registration_left_out", source=sender, reason=reason, **details)
--- a/lycheevalve/flows/registrations.py
+++ b/lycheevalve/flows/registrations.py
@@ -10,22 +10,25 @@
 from lycheevalve.flows.upstreams import UpstreamState, find_address
 
 
-def find_objection(registration, current, services, now):
+def find_objection(registration, current, now, services=(), is_complete=True):
     """
     Return why a registration names no upstream, or an empty string.
 
     `current` is the upstream at its address or None, `services` the names of the services of
-    the configuration, empty if they are not known.
+    the configuration, empty if they are not known; `is_complete` states whether all upstreams
+    that are in use are known.
     """
     if find_address(registration.address) is None:
         return f"{registration.address!r} is not the address of a host"
+    is_unknown = bool(services) and registration.service_name not in services
     if current is None or current.state(now) is UpstreamState.GONE:
-        return ""
+        is_undecided = is_unknown and not is_complete
+        return "unknown service, at an address that may be in use" if is_undecided else ""
     if registration.service_name == current.service:
         return ""
     if is_same_process(registration, current.registration):
         return f"the same upstream serves {current.service!r} since its start"
-    if registration.service_name not in services and current.service in services:
+    if is_unknown and current.service in services:
         return f"unknown service at the address of an upstream of {current.service!r}"
     return ""
 
--- a/lycheevalve/tests/test_odd_registrations.py
+++ b/lycheevalve/tests/test_odd_registrations.py
@@ -100,6 +100,21 @@
         found = self.announce(service="never seen", name="i-odd", incarnation=9000)
         assert found == (False, [["i-00000001"]] * 2)
 
+    def test_unknown_service_takes_none_from_a_replica_that_has_just_started(self):
+        """Its table was empty, so that the address seemed to be free."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(1.0)
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        cluster.running[cluster.seeds[0]].handle_announcement(sound, "sound", cluster.now)
+        cluster.run(1.0)
+        cluster.start_control(cluster.seeds[1])
+        cluster.commit(3)
+        odd = build_registration(1, service="never seen", incarnation=9000)
+        cluster.running[cluster.seeds[1]].handle_announcement(odd, "odd", cluster.now)
+        cluster.run(1.0)
+        assert cluster.acknowledgements["odd"] is False
+        assert list_found(cluster) == [[sound.name]] * 2
+
     def test_same_process_does_not_change_its_service(self):
         """A copy of a heartbeat with another service and a later number displaced it."""
         found = self.announce(service="restreport", sequence=9)
