Parse the address of an upstream once

Cause: the check of addresses added two parses of its text to each registration of a list, and what was parsed before had been kept. Change: the parsed address is kept again.

--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import functools
 
 import attrs
 
@@ -128,6 +129,7 @@
         return min(1.0, MIN_WARM_UP_SHARE + (1 - MIN_WARM_UP_SHARE) * share)
 
 
+@functools.lru_cache(maxsize=65536)
 def find_address(text):
     """Return the (ip, port) of an upstream's address, or None if it is not that of a host."""
     try:
