--- a/lycheevalve/tests/test_storage.py
+++ b/lycheevalve/tests/test_storage.py
@@ -307,7 +307,7 @@
     def __init__(self):
         self.applied = []
 
-    def apply_registration(self, registration, now):
+    def adopt_registration(self, registration, now):
         """Keep a registration; fail for one with an address that is none."""
         if registration.address == "damaged":
             raise ValueError("not an address")
--- a/lycheevalve/tests/test_task_failures.py
+++ b/lycheevalve/tests/test_task_failures.py
@@ -18,6 +18,7 @@
     "zone": "dc1",
     "version": "v1",
     "slots": 2,
+    "warmupLeftMs": 0,
     "state": "ready",
     "sequence": 1,
     "born": 1,
