Take ports of tests outside the range of connections

What was seen: test_control_replica_recovers[reload_settings] failed once, beside another run of the tests. Its log has `address_unavailable`, "Address already in use", for its metrics port all the 60 s. Cause: a port was chosen by the system from those that it also gives to connections and to the next test, of any run, and was closed until the process bound it. Change: ports come at random from below that range. Measured: the tests of real processes with ports from here pass (test_take_over, test_boundaries, test_bad_inputs), and the failed test passed alone.

--- a/lycheevalve/tests/fakes/role_processes.py
+++ b/lycheevalve/tests/fakes/role_processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,13 +16,21 @@
 KEY = "key-of-the-tests-not-secret"
 # A condition must hold within this time, which is far longer than any step takes.
 WAIT_TIMEOUT_SECONDS = 60.0
+PORTS = range(10_000, 32_000)
 
 
 def find_port(host, kind=socket.SOCK_STREAM):
-    """Return a port that is free at a loopback address."""
-    with socket.socket(socket.AF_INET, kind) as opened:
-        opened.bind((host, 0))
-        return opened.getsockname()[1]
+    """
+    Return a port that is free at a loopback address until a process binds it.
+
+    The system gives the ports above to connections, and the next one to another test.
+    """
+    generator = random.SystemRandom()
+    while True:
+        port = generator.choice(PORTS)
+        with socket.socket(socket.AF_INET, kind) as opened, contextlib.suppress(OSError):
+            opened.bind((host, port))
+            return port
 
 
 def wait_for(condition):
