--- a/bench/mutations/coordination.py
+++ b/bench/mutations/coordination.py
@@ -5,6 +5,8 @@
 CONSENSUS = "test_consensus.py"
 DOCUMENTS = "test_documents.py"
 LEADERSHIP = "test_leadership.py"
+DEPARTURES = "test_departures.py"
+DEREGISTRATIONS = "test_deregistrations.py"
 LARGE_FLEET = "test_large_fleet.py"
 DISSEMINATION = "test_dissemination.py"
 COORDINATION_MUTANTS = (
@@ -206,7 +208,7 @@
     ),
     Mutant(
         "leases: any report revives an expired lease",
-        "entry.py",
+        "flows/reported_leases.py",
         "if upstream.expires_at > now:",
         "if True:",
         f"{LARGE_FLEET}::TestRenewals",
@@ -284,8 +286,71 @@
     Mutant(
         "a lost leader is replaced later than another member",
         "coordination/elections.py",
-        "    if lost in replica.progress and lost not in replica.votes:",
+        "    if name == replica.last_leader:",
         "    if False:",
         f"{LEADERSHIP}::TestReplacement",
     ),
+    Mutant(
+        "a lost member is replaced when its successor stops counting as lost",
+        "coordination/replacement.py",
+        "UNRESPONSIVE_SHARE = 0.8",
+        "UNRESPONSIVE_SHARE = 1.0",
+        f"{LEADERSHIP}::TestSuccessiveLosses",
+    ),
+    Mutant(
+        "a new leader counts the silence of members from its election",
+        "coordination/elections.py",
+        "    return replica.silent_since.get(name, now)",
+        "    return now",
+        f"{LEADERSHIP}::TestSuccessiveLosses",
+    ),
+    Mutant(
+        "two candidates try again at random times after a split vote",
+        "coordination/elections.py",
+        "    elif not message.pre:\n        schedule_retry(replica, sender, now)\n",
+        "",
+        f"{LEADERSHIP}::TestElections",
+    ),
+    Mutant(
+        "departures: a planned stop is not announced",
+        "coordination/departures.py",
+        "        if self.feeds.get(address) != feed:",
+        "        if False:",
+        f"{DEPARTURES}::TestPlannedStop",
+    ),
+    Mutant(
+        "departures: a restarted replica still counts as stopping",
+        "coordination/departures.py",
+        "        if self.feeds.get(address, feed) != feed:",
+        "        if False:",
+        f"{DEPARTURES}::TestPlannedStop",
+    ),
+    Mutant(
+        "departures: findings of a replica that stops are used",
+        "entry.py",
+        "near.keys() - self.subscriptions.find_leaving(now)",
+        "near",
+        f"{DEPARTURES}::TestFindings",
+    ),
+    Mutant(
+        "deregistrations: the newest incarnation ends, whichever is named",
+        "flows/registrations.py",
+        "        is_named = registration.incarnation == incarnation",
+        "        is_named = True",
+        f"{DEREGISTRATIONS}::TestEarlierIncarnation",
+    ),
+    Mutant(
+        "deregistrations: a call that names no incarnation ends any",
+        "flows/registrations.py",
+        "        is_draining = incarnation is None and registration.draining",
+        "        is_draining = incarnation is None",
+        f"{DEREGISTRATIONS}::TestEarlierIncarnation",
+    ),
+    Mutant(
+        "deregistrations: a late heartbeat brings an upstream back",
+        "flows/upstreams.py",
+        "    return registration.incarnation, registration.leaving, registration.sequence",
+        "    return registration.incarnation, registration.sequence",
+        f"{DEREGISTRATIONS}::TestAfterTheEnd",
+    ),
 )
--- a/bench/mutations/flows.py
+++ b/bench/mutations/flows.py
@@ -160,8 +160,8 @@
     Mutant(
         "partitions: an entry instance with too few upstreams stays ready",
         "entry.py",
-        "return not has_local_capacity(self.upstreams, self.data_centre, services, now)",
-        "return False",
+        "        return not has_local_capacity(",
+        "        return False and not has_local_capacity(",
         "test_isolation.py::TestReadinessDuringPartition",
     ),
     Mutant(
--- a/bench/mutations/inputs.py
+++ b/bench/mutations/inputs.py
@@ -6,6 +6,7 @@
 JSON = "test_strict_json.py"
 UNREADABLE = "test_unreadable_configurations.py"
 HTTP = "test_http.py"
+ODD_REGISTRATIONS = "test_odd_registrations.py"
 INPUT_MUTANTS = (
     Mutant(
         "inputs: registrations that can't be encoded are accepted",
@@ -31,7 +32,7 @@
     Mutant(
         "inputs: configurations are accepted without reading their routes",
         "platform/documents.py",
-        "    read_routes(document.text)\n    return document\n",
+        "    check_routes(value)\n    return document\n",
         "    return document\n",
         f"{JSON}::TestReading",
     ),
@@ -91,4 +92,32 @@
         "    with trio.CancelScope():\n",
         f"{HTTP}::TestBadRequests",
     ),
+    Mutant(
+        "inputs: an entry of a list without a usable address is not left out",
+        "flows/upstreams.py",
+        "    except ValueError:\n        return None\n",
+        "    except TypeError:\n        return None\n",
+        f"{ODD_REGISTRATIONS}::TestLists",
+    ),
+    Mutant(
+        "inputs: an unknown service takes the address of an upstream",
+        "flows/registrations.py",
+        "    if is_unknown and current.service in services:",
+        "    if False:",
+        f"{ODD_REGISTRATIONS}::TestTakenAddresses",
+    ),
+    Mutant(
+        "inputs: a heartbeat may lack the version",
+        "platform/heartbeats.py",
+        '    "version": read_string,\n',
+        "",
+        "test_platform.py::TestOddHeartbeats",
+    ),
+    Mutant(
+        "inputs: an upstream may announce an address of no host",
+        "utils/addresses.py",
+        "    if ip in THIS_NETWORK or ip.is_multicast or ip.is_reserved:",
+        "    if False:",
+        "test_platform.py::TestOddHeartbeats",
+    ),
 )
--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -110,8 +110,8 @@
     Mutant(
         "load: dead replicas everywhere are taken for cuts",
         "flows/reachability.py",
-        "        if not self.is_answer_early(now):\n            return []\n        answered",
-        "        answered",
+        "        if not self.is_answer_early(now):\n            return []\n        self.update",
+        "        self.update",
         f"{REACHABILITY}::TestOtherFailures",
     ),
     Mutant(
@@ -145,8 +145,8 @@
     Mutant(
         "load: findings of a replica reach its own subscribers only",
         "control.py",
-        "                self.checks.adopt(sender, message.unreachable or ())",
-        "                pass",
+        "            self.checks.adopt(sender, news.unreachable or ())",
+        "            pass",
         f"{CHECKS}::TestDataCentre",
     ),
     Mutant(
@@ -198,4 +198,18 @@
         "            self.started_at <= replica.answered_at",
         f"{REACHABILITY}::TestOtherFailures",
     ),
+    Mutant(
+        "load: a request at work is evidence of a cut",
+        "flows/lost_upstreams.py",
+        "        return now - silence.sent_at >= self.failures.answer_time(upstream, silence)",
+        "        return True",
+        f"{REACHABILITY}::TestRequestsAtWork",
+    ),
+    Mutant(
+        "load: a round of probes does not wait for the checks of upstreams",
+        "flows/reachability.py",
+        "if not found and seconds < MAX_ROUND_SECONDS and",
+        "if False and",
+        f"{REACHABILITY}::TestCutDataCentre",
+    ),
 )
