Wait for the end of the soak's restarted upstream before its next start

Likely cause: a heartbeat in flight holds up the end of the former incarnation, and so its socket, for up to a second, while the next one took the address after 0.3 s. Change: the next incarnation starts when the former one has ended.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -70,7 +70,7 @@
         nursery.start_soon(operator.check_in_force, callers)
         if len(site.trees) == 1:
             # Earlier versions act on late calls and odd heartbeats.
-            nursery.start_soon(run_reborn_upstream, site, nursery, seed)
+            nursery.start_soon(run_reborn_upstream, site, seed)
         nursery.start_soon(site.keep_connections)
         await events.run(seconds)
         await events.upgrade_all()
--- a/bench/soak/late_calls.py
+++ b/bench/soak/late_calls.py
@@ -33,19 +33,21 @@
 )
 
 
-async def run_reborn_upstream(site, nursery, seed):
+async def run_reborn_upstream(site, seed):
     """Start, drain, end and start an upstream again until cancelled; send its late calls."""
     generator = random.Random(f"late {seed}")
     address = (f"127.{site.network}.4.{UPSTREAM_HOST_LIMIT}", UPSTREAM_PORT)
     ended = None
     while True:
         upstream = Upstream(NUMBER, SERVICES[0], address, ZONES[0], site)
-        nursery.start_soon(upstream.run)
-        if ended is not None:
-            await send_late_calls(site, ended, generator)
-        await send_odd_heartbeats(site, upstream, generator)
-        await trio.sleep(generator.uniform(1.0, MAX_SERVING_SECONDS))
-        await upstream.drain_and_deregister()
+        # Its address is free only once its last heartbeat has been answered or given up.
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(upstream.run)
+            if ended is not None:
+                await send_late_calls(site, ended, generator)
+            await send_odd_heartbeats(site, upstream, generator)
+            await trio.sleep(generator.uniform(1.0, MAX_SERVING_SECONDS))
+            await upstream.drain_and_deregister()
         ended = upstream
         await trio.sleep(RESTART_SECONDS)
 
