Show two open faults with tests that fail

Cause: `ask_once` passes on the error of a connection that is reset, which its callers don't expect (they try the next leader after UnavailableError); and an address that nobody uses is registered for a service that the configuration doesn't name, whose later start hides the target.

--- a/lycheevalve/tests/test_odd_registrations.py
+++ b/lycheevalve/tests/test_odd_registrations.py
@@ -115,6 +115,19 @@
         assert cluster.acknowledgements["odd"] is False
         assert list_found(cluster) == [[sound.name]] * 2
 
+    def test_target_is_found_after_an_unknown_service_took_its_free_address(self):
+        """It was announced first, with a later start, and hides the target; soak, seed 226."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(2.0)
+        cluster.commit(3)
+        replica = cluster.running[cluster.seeds[0]]
+        odd = build_registration(1, service="never seen", name="i-odd", incarnation=9000)
+        replica.handle_announcement(odd, "odd", cluster.now)
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        replica.handle_announcement(sound, "sound", cluster.now)
+        cluster.run(1.0)
+        assert list_found(cluster) == [[sound.name]] * 2
+
     def test_same_process_does_not_change_its_service(self):
         """A copy of a heartbeat with another service and a later number displaced it."""
         found = self.announce(service="restreport", sequence=9)
--- a/lycheevalve/tests/test_polling.py
+++ b/lycheevalve/tests/test_polling.py
@@ -93,3 +93,30 @@
     def test_answer_is_returned(self):
         answered = AnsweringConnection(News())
         assert trio.run(polling.exchange, answered, Poll(), ADDRESS) == News()
+
+
+class ResetConnection:
+    """A connection that its peer resets while it waits for an answer."""
+
+    def __init__(self):
+        self.stream, _ = trio.testing.memory_stream_pair()
+
+    async def send(self, message):
+        """Send nothing."""
+
+    async def receive(self):
+        """Raise the error of a stream that was reset."""
+        raise trio.BrokenResourceError("socket connection broken: connection reset by peer")
+
+
+class TestAskOnce:
+    """A question to the leader of the log."""
+
+    # The error of the connection ended the operator's call without an answer; soak, seed 226.
+    def test_leader_that_ends_before_it_answers_is_unavailable(self, monkeypatch):
+        async def open_connection(address, codec):
+            return ResetConnection()
+
+        monkeypatch.setattr(polling, "open_connection", open_connection)
+        with pytest.raises(UnavailableError):
+            trio.run(polling.ask_once, ADDRESS, None, Poll(), 1.0)
