--- a/bench/mutations/inputs.py
+++ b/bench/mutations/inputs.py
@@ -111,13 +111,13 @@
         "platform/heartbeats.py",
         '    "version": read_string,\n',
         "",
-        "test_platform.py::TestOddHeartbeats",
+        "test_odd_heartbeats.py",
     ),
     Mutant(
         "inputs: an upstream may announce an address of no host",
         "utils/addresses.py",
         "    if ip in THIS_NETWORK or ip.is_multicast or ip.is_reserved:",
         "    if False:",
-        "test_platform.py::TestOddHeartbeats",
+        "test_odd_heartbeats.py",
     ),
 )
