Show a check that counts for the wrong service with a test that fails

Cause: a check of `i-`, which had crashed, was accepted by `i-` of another service at its address, and counted for the former's service, whose upstreams accept no connections; their failed checks counted from then on.

--- a/lycheevalve/tests/test_upstream_checks.py
+++ b/lycheevalve/tests/test_upstream_checks.py
@@ -74,6 +74,17 @@
         assert replica.checks.list_unreachable() == [replica.find(1).cookie]
         assert replica.checks.number == 1
 
+    def test_connection_to_the_next_process_at_an_address_says_nothing(self):
+        """Upstreams of a service that accepts none counted as unreachable; soak, seed 234."""
+        replica = Replica()
+        replica.checks.accepted_at.clear()
+        assert replica.checks.request(replica.find(1).cookie, 0.0)
+        cookie = replica.find(1).cookie
+        other = build_registration(1, service="restreport", incarnation=9000)
+        replica.upstreams.update(other, 0.1)
+        replica.checks.record_result(cookie, True, 0.1)
+        assert not replica.checks.accepts_connections("nightsync", 0.1)
+
     def test_accepted_connection_changes_nothing(self):
         replica = Replica()
         assert replica.check(1, is_accepted=True)
