--- a/bench/mutations/inputs.py
+++ b/bench/mutations/inputs.py
@@ -8,6 +8,27 @@
 HTTP = "test_http.py"
 ODD_REGISTRATIONS = "test_odd_registrations.py"
 INPUT_MUTANTS = (
+    Mutant(
+        "inputs: an unknown service with a later start keeps its address",
+        "flows/upstreams.py",
+        "        return self.is_known(registration.service_name), *version_of(registration)\n",
+        "        return version_of(registration)\n",
+        f"{ODD_REGISTRATIONS}::TestTakenAddresses",
+    ),
+    Mutant(
+        "inputs: registrations that were left out are not requested again",
+        "entry.py",
+        "            self.subscriptions.request_all()\n",
+        "            pass\n",
+        f"{ODD_REGISTRATIONS}::TestTakenAddresses",
+    ),
+    Mutant(
+        "inputs: a copied start under another name takes an address",
+        "flows/registrations.py",
+        "    if registration.name != current.name:\n",
+        "    if False:\n",
+        f"{ODD_REGISTRATIONS}::TestTakenAddresses",
+    ),
     Mutant(
         "inputs: registrations that can't be encoded are accepted",
         "platform/heartbeats.py",
@@ -102,8 +123,8 @@
     Mutant(
         "inputs: an unknown service takes the address of an upstream",
         "flows/registrations.py",
-        "    if is_unknown and current.service in services:",
-        "    if False:",
+        '        return reason if is_unknown else ""\n',
+        '        return ""\n',
         f"{ODD_REGISTRATIONS}::TestTakenAddresses",
     ),
     Mutant(
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -17,6 +17,7 @@
 from lycheevalve.coordination.subscriptions import Subscriptions
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.coordination.upstream_checks import UpstreamChecks
+from lycheevalve.flows.front_doors import list_services
 from lycheevalve.flows.lookups import LookupTable
 from lycheevalve.flows.registrations import (
     describe,
@@ -140,7 +141,7 @@
         """Return whether a registration names an upstream to use; log why not."""
         existing = self.upstreams.find_at(registration.address)
         is_complete = self.feed.is_settled(now)
-        services = self.lookups.services
+        services = self.upstreams.services
         reason = find_objection(registration, existing, now, services, is_complete)
         if reason:
             details = describe(registration)
@@ -387,9 +388,10 @@
 
         Raise SettingsError, and keep the routes, if its document is unreadable.
         """
-        self.lookups.set_routes(
-            self.read_routes(configuration.document), configuration.revision
-        )
+        routes = self.read_routes(configuration.document)
+        self.lookups.set_routes(routes, configuration.revision)
+        # Other replicas send the registrations that were left out again, with their renewals.
+        self.upstreams.set_services(list_services(routes))
         self.observe("in_force", revision=configuration.revision)
 
     def apply_evacuations(self, data_centres, now):
--- a/lycheevalve/coordination/subscriptions.py
+++ b/lycheevalve/coordination/subscriptions.py
@@ -62,6 +62,8 @@
     current_at: float = float("-inf")
     settled: bool = False
     poll_pending: bool = False
+    # Whether the next poll requests all updates, not only those since the last version.
+    requests_all: bool = False
     # Whether it is polled, and since when.
     active: bool = False
     active_since: float = float("-inf")
@@ -191,6 +193,9 @@
         """Return the next poll of a source."""
         source = self.sources[address]
         source.poll_pending = True
+        if source.requests_all:
+            source.requests_all = False
+            source.feed = source.version = 0
         return Poll(
             address=self.own_address,
             data_centre=self.data_centre,
@@ -207,6 +212,11 @@
             leaving_known=source.leaving_number + 1,
         )
 
+    def request_all(self):
+        """Request all updates of each source with its next poll."""
+        for source in self.sources.values():
+            source.requests_all = True
+
     @contextlib.contextmanager
     def handling(self, address):
         """Handle an update in the block; after an error, the next poll requests all of it."""
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -15,7 +15,7 @@
 from lycheevalve.coordination.timers import Timers
 from lycheevalve.flows.cookie_routing import CookieRouter
 from lycheevalve.flows.failure_evidence import FailureDetector
-from lycheevalve.flows.front_doors import UNKNOWN_ROUTE
+from lycheevalve.flows.front_doors import UNKNOWN_ROUTE, list_services
 from lycheevalve.flows.isolation import has_local_capacity, reaches_other_data_centres
 from lycheevalve.flows.link_scheduler import build_scheduler
 from lycheevalve.flows.lost_upstreams import LostUpstreams
@@ -373,7 +373,10 @@
 
     def apply_configuration(self, configuration, now):
         """Replace the routes; raise SettingsError, and keep them, if they are unreadable."""
-        self.cookie_router.set_routes(self.read_routes(configuration.document), now)
+        routes = self.read_routes(configuration.document)
+        self.cookie_router.set_routes(routes, now)
+        if self.upstreams.set_services(list_services(routes)):
+            self.subscriptions.request_all()
         self.observe("in_force", revision=configuration.revision)
 
     def apply_evacuations(self, data_centres, now):
--- a/lycheevalve/flows/front_doors.py
+++ b/lycheevalve/flows/front_doors.py
@@ -24,5 +24,10 @@
     timeout_seconds: float = 0.0
 
 
+def list_services(routes):
+    """Return the names of the services behind the routes, a mapping by front door."""
+    return frozenset(service for route in routes.values() for service, _ in route.backends)
+
+
 # Stands for the route of any front door until settings are applied.
 UNKNOWN_ROUTE = FrontDoorRoute(())
--- a/lycheevalve/flows/lookups.py
+++ b/lycheevalve/flows/lookups.py
@@ -26,8 +26,6 @@
     # The routes of the configuration `revision`, see front_doors.py.
     routes: dict = attrs.field(factory=dict)
     revision: int = 0
-    # The names of the services behind the routes.
-    services: frozenset = frozenset()
 
     def add(self, registration):
         """Add the upstream of a registration that was applied."""
@@ -42,8 +40,6 @@
     def set_routes(self, routes, revision):
         """Replace the routes with those of a configuration."""
         self.routes, self.revision = routes, revision
-        backends = (backend for route in routes.values() for backend in route.backends)
-        self.services = frozenset(service for service, _ in backends)
 
     def list_targets(self, now):
         """Return the Targets of all upstreams with valid leases."""
--- a/lycheevalve/flows/registrations.py
+++ b/lycheevalve/flows/registrations.py
@@ -24,18 +24,22 @@
     if current is None or current.state(now) is UpstreamState.GONE:
         is_undecided = is_unknown and not is_complete
         return "unknown service, at an address that may be in use" if is_undecided else ""
-    if registration.service_name == current.service:
-        return ""
-    if is_same_process(registration, current.registration):
-        return f"the same upstream serves {current.service!r} since its start"
-    if is_unknown and current.service in services:
-        return f"unknown service at the address of an upstream of {current.service!r}"
-    return ""
+    is_current_unknown = bool(services) and current.service not in services
+    if is_unknown is not is_current_unknown:
+        reason = f"unknown service at the address of an upstream of {current.service!r}"
+        return reason if is_unknown else ""
+    return find_contradiction(registration, current.registration)
 
 
-def is_same_process(one, other):
-    """Return whether two registrations are of one process, as far as their names say."""
-    return (one.name, one.incarnation) == (other.name, other.incarnation)
+def find_contradiction(registration, current):
+    """Return what of a registration its upstream can't have changed since its start."""
+    if registration.incarnation != current.incarnation:
+        return ""
+    if registration.name != current.name:
+        return f"{current.name!r} is at this address since the same start"
+    if registration.service_name != current.service_name:
+        return f"the same upstream serves {current.service_name!r} since its start"
+    return ""
 
 
 def find_deregistered(registrations, incarnation):
--- a/lycheevalve/flows/upstreams.py
+++ b/lycheevalve/flows/upstreams.py
@@ -159,11 +159,37 @@
     evacuated: frozenset = frozenset()
     # When the evacuation of a data centre was withdrawn.
     restored_at: dict[str, float] = attrs.field(factory=dict)
+    # The names of the services of the configuration, empty while that is not known.
+    services: frozenset = frozenset()
     next_index: int = 1
 
+    def set_services(self, services):
+        """
+        Set the names of the services of the configuration.
+
+        Return whether a registration that was left out before may hold its address now.
+        """
+        before, self.services = self.services, services
+        if before:
+            return bool(services - before)
+        return not all(self.is_known(u.service) for u in self.by_address.values())
+
+    def is_known(self, service):
+        """Return whether the configuration has a service, or is not known itself."""
+        return not self.services or service in self.services
+
+    def rank(self, registration):
+        """
+        Return the sort key of the registrations of one address; the greatest holds it.
+
+        Any service of the configuration comes before one that it does not have: the start
+        of such an upstream may be invented.
+        """
+        return self.is_known(registration.service_name), *version_of(registration)
+
     def update(self, registration, now):
         """
-        Apply a registration; return whether it is newer than the current one.
+        Apply a registration; return whether it holds its address from now on.
 
         One without the address of a host names no upstream.
         """
@@ -171,7 +197,7 @@
         if address is None:
             return False
         current = self.by_address.get(address)
-        if current is not None and version_of(registration) <= version_of(current.registration):
+        if current is not None and self.rank(registration) <= self.rank(current.registration):
             return False
         same = current is not None and self.is_same_incarnation(
             current.registration, registration
@@ -318,7 +344,8 @@
         of_service.remove(upstream)
         if not of_service:
             del self.by_service[upstream.service]
-        registration = upstream.registration
-        self.by_identity.pop((registration.address, registration.incarnation), None)
+        identity = upstream.registration.address, upstream.registration.incarnation
+        if self.by_identity.get(identity) is upstream:
+            del self.by_identity[identity]
         if self.by_address.get(upstream.address) is upstream:
             del self.by_address[upstream.address]
--- a/lycheevalve/tests/test_odd_registrations.py
+++ b/lycheevalve/tests/test_odd_registrations.py
@@ -1,9 +1,11 @@
 """Registrations that name no upstream, from an earlier version, over links and from disk."""
 
+import attrs
 import pytest
 
 from lycheevalve.coordination.feeds import Feed
 from lycheevalve.coordination.upstream_cache import read_upstream_cache, write_upstream_cache
+from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.logs.schema import validate_event
 from lycheevalve.schema.generated.messages import LeaseQuery, Registrations
 from lycheevalve.tests.fakes.control_cluster import ControlCluster
@@ -128,6 +130,69 @@
         cluster.run(1.0)
         assert list_found(cluster) == [[sound.name]] * 2
 
+    def test_target_is_found_after_the_configuration_names_its_service(self):
+        """No replica had a configuration yet, so that the later start held the address."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(2.0)
+        replica = cluster.running[cluster.seeds[0]]
+        odd = build_registration(1, service="never seen", name="i-odd", incarnation=9000)
+        replica.handle_announcement(odd, "odd", cluster.now)
+        cluster.run(1.0)
+        cluster.commit(3)
+        # Entry instances get this heartbeat with the news of the configuration, before that.
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        replica.handle_announcement(sound, "sound", cluster.now)
+        cluster.run(1.0)
+        assert list_found(cluster) == [[sound.name]] * 2
+
+    def test_service_that_is_configured_later_holds_its_address_again(self):
+        """An entry instance had left the registration out, and the feed does not repeat it."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(2.0)
+        cluster.commit(3, routes=[1])
+        cluster.run(1.0)
+        entry = cluster.running[cluster.entries[0]]
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS, incarnation=9000)
+        former = build_registration(1, service="restreport", name="i-former")
+        for address in cluster.seeds:
+            cluster.running[address].adopt_registration(sound, cluster.now)
+        cluster.run(1.0)
+        # A replica that was cut off still lists the former upstream of the address.
+        entry.update_upstream(former, cluster.seeds[1], cluster.now)
+        assert entry.upstreams.find_at(sound.address).registration.name == former.name
+        cluster.commit(4, routes=[0, 1])
+        cluster.run(1.0)
+        assert entry.upstreams.find_at(sound.address).registration.name == sound.name
+
+    def test_copied_start_under_another_name_takes_none(self):
+        """Packets with the other name's id were dropped by the target."""
+        found = self.announce(name="i-odd", sequence=9)
+        assert found == (False, [["i-00000001"]] * 2)
+
+    def test_start_copied_by_an_unknown_service_hides_no_target(self):
+        cluster = ControlCluster(controls=2)
+        cluster.run(2.0)
+        cluster.commit(3)
+        replica = cluster.running[cluster.seeds[0]]
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        odd = build_registration(1, service="never seen", sequence=9)
+        replica.handle_announcement(odd, "odd", cluster.now)
+        replica.handle_announcement(sound, "sound", cluster.now)
+        cluster.run(1.0)
+        assert list_found(cluster) == [[sound.name]] * 2
+
+    def test_eviction_of_the_hidden_upstream_keeps_the_target(self):
+        """Both had the same address and start, by which upstreams are found."""
+        table = Upstreams(services=frozenset(["nightsync"]))
+        odd = build_registration(1, service="never seen")
+        sound = build_registration(1)
+        assert table.update(odd, 0.0)
+        assert table.update(sound, 0.0)
+        assert not table.update(attrs.evolve(odd, sequence=9), 0.0)
+        (hidden,) = table.by_service["never seen"]
+        table.evict(hidden)
+        assert table.find(sound.address, sound.incarnation).registration == sound
+
     def test_same_process_does_not_change_its_service(self):
         """A copy of a heartbeat with another service and a later number displaced it."""
         found = self.announce(service="restreport", sequence=9)
