--- a/bench/mutations/coordination.py
+++ b/bench/mutations/coordination.py
@@ -10,6 +10,20 @@
 LARGE_FLEET = "test_large_fleet.py"
 DISSEMINATION = "test_dissemination.py"
 COORDINATION_MUTANTS = (
+    Mutant(
+        "polling: the error of a broken connection is passed on",
+        "daemon/polling.py",
+        "        except BROKEN_CONNECTION_ERRORS as error:\n",
+        "        except TimeoutError as error:\n",
+        "test_polling.py",
+    ),
+    Mutant(
+        "polling: an answer of the leader that can't be decoded ends the call",
+        "daemon/control.py",
+        "        except LycheevalveError as error:\n",
+        "        except UnavailableError as error:\n",
+        "test_polling.py",
+    ),
     Mutant(
         "a replica with a lost disk votes at once",
         "coordination/recovery.py",
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -37,7 +37,7 @@
 from lycheevalve.daemon.udp_socket import UdpSocket
 from lycheevalve.daemon.upstream_checks import UpstreamChecked, check_upstream
 from lycheevalve.daemon.upstream_store import UpstreamStore
-from lycheevalve.exceptions import UnavailableError
+from lycheevalve.exceptions import LycheevalveError, UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import (
     ChangeResult,
@@ -241,7 +241,8 @@
             return answer
         try:
             return await ask_once(leader, self.make_codec(), message, ANSWER_TIMEOUT_SECONDS)
-        except UnavailableError as error:
+        except LycheevalveError as error:
+            # Also an answer that can't be read, as that of a leader with another key.
             record("leader_unreached", peer=leader, reason=str(error))
             return None
 
--- a/lycheevalve/daemon/polling.py
+++ b/lycheevalve/daemon/polling.py
@@ -29,6 +29,8 @@
 MIN_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 0.8
 QUEUE_MESSAGES = 8
+# What a connection raises whose peer has reset it.
+BROKEN_CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 @attrs.frozen
@@ -132,12 +134,17 @@
     """
     Send a message and return the answer; raise UnavailableError at the timeout.
 
-    It is also raised for a Failure: the peer could not handle the message, and what follows
-    an answer would not happen.
+    It is also raised when the connection breaks, as the peer's process may end at any time,
+    and for a Failure: the peer could not handle the message, and what follows an answer would
+    not happen.
     """
     with trio.move_on_after(seconds):
-        await connection.send(message)
-        _, answer = await connection.receive()
+        try:
+            await connection.send(message)
+            _, answer = await connection.receive()
+        except BROKEN_CONNECTION_ERRORS as error:
+            reason = f"the connection broke: {error!r}"
+            raise UnavailableError(reason, "exchange", peer) from error
         if isinstance(answer, Failure):
             raise UnavailableError(answer.reason, answer.step, answer.peer or peer)
         return answer
--- a/lycheevalve/tests/test_polling.py
+++ b/lycheevalve/tests/test_polling.py
@@ -4,9 +4,15 @@
 import trio
 import trio.testing
 
-from lycheevalve.daemon import polling
-from lycheevalve.exceptions import UnavailableError
-from lycheevalve.schema.generated.messages import Failure, News, Poll
+from lycheevalve.daemon import control, polling
+from lycheevalve.exceptions import FrameError, UnavailableError
+from lycheevalve.schema.generated.messages import (
+    Failure,
+    News,
+    Poll,
+    ReadRequest,
+    ReadResult,
+)
 
 ADDRESS = "10.0.0.1:7000"
 # A replica imports its modules, starts and elects a leader in less time than this, so a
@@ -105,6 +111,10 @@
         """Send nothing."""
 
     async def receive(self):
+        """Raise the error of a stream that was reset."""
+        await self.fail()
+
+    async def fail(self, *_):
         """Raise the error of a stream that was reset."""
         raise trio.BrokenResourceError("socket connection broken: connection reset by peer")
 
@@ -120,3 +130,44 @@
         monkeypatch.setattr(polling, "open_connection", open_connection)
         with pytest.raises(UnavailableError):
             trio.run(polling.ask_once, ADDRESS, None, Poll(), 1.0)
+
+    # A link that was open when the leader ended fails with the first message.
+    def test_connection_that_breaks_while_a_message_is_sent(self):
+        connection = ResetConnection()
+        connection.send = connection.fail
+        with pytest.raises(UnavailableError, match="the connection broke"):
+            trio.run(polling.exchange, connection, Poll(), ADDRESS)
+
+
+class FollowingReplica:
+    """A control replica that refers to a leader at ADDRESS."""
+
+    address = "10.0.0.2:7000"
+    replica_inbox = None
+
+    async def ask(self, inbox, event, message):
+        """Return the answer of this replica's log."""
+        return ReadResult(current=False, leader=ADDRESS)
+
+    def make_codec(self):
+        """Return no codec, as nothing is sent."""
+
+
+class TestLeader:
+    """A replica that passes an operator's call on to the leader."""
+
+    # Any other error ended the operator's call without an answer, where another try follows.
+    @pytest.mark.parametrize(
+        "error",
+        [
+            UnavailableError("the connection broke", "exchange", ADDRESS),
+            FrameError("the signature does not match", "decode"),
+        ],
+    )
+    def test_answer_that_does_not_arrive_is_none(self, monkeypatch, error):
+        async def ask_once(*_):
+            raise error
+
+        monkeypatch.setattr(control, "ask_once", ask_once)
+        ask = control.ControlProcess.ask_leader_once
+        assert trio.run(ask, FollowingReplica(), ReadRequest()) is None
