--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -170,6 +170,20 @@
         "                pass",
         f"{CHECKS}::TestDataCentre",
     ),
+    Mutant(
+        "load: a check counts that the next process at an address has accepted",
+        "coordination/upstream_checks.py",
+        "        if self.is_ended(upstream, now):\n            return True\n",
+        "",
+        f"{CHECKS}::TestChecks",
+    ),
+    Mutant(
+        "load: a check counts though the address may be in use again",
+        "coordination/upstream_checks.py",
+        "        return now - last_seen_at >= self.address_reuse_seconds\n",
+        "        return False\n",
+        f"{CHECKS}::TestChecks",
+    ),
     Mutant(
         "load: a failed check suffices",
         "coordination/upstream_checks.py",
--- a/bench/soak/events.py
+++ b/bench/soak/events.py
@@ -8,13 +8,11 @@
 
 from bench.soak.http_client import call
 from bench.soak.inputs import Intruder
-from bench.soak.site import CONTROL_PORT, LINK_PORT, SERVICES, ZONES
+from bench.soak.site import ADDRESS_REUSE_SECONDS, CONTROL_PORT, LINK_PORT, SERVICES, ZONES
 from bench.soak.upstreams import UPSTREAM_HOST_LIMIT, UPSTREAM_PORT, Upstream
 from lycheevalve.tests.fakes.platform import REPLACE_PATH
 
 UPSTREAM_COUNTS = {SERVICES[0]: 6, SERVICES[1]: 4}
-# The address of a stopped upstream is reused after this time.
-ADDRESS_REUSE_DELAY_SECONDS = 2.0
 # Versions that no configuration may have.
 INVALID_VERSIONS = (2**63, 10**30, -1, None, "7", 1.5)
 
@@ -81,7 +79,7 @@
         self.add_upstream(upstream.service)
         await trio.sleep(1.0)
         await upstream.drain_and_deregister()
-        await trio.sleep(ADDRESS_REUSE_DELAY_SECONDS)
+        await trio.sleep(ADDRESS_REUSE_SECONDS)
         self.free_hosts.append(host)
 
     async def crash_upstream(self):
@@ -90,7 +88,7 @@
         upstream, host = self.upstreams.pop(name)
         self.log(f"crash {name} of {upstream.service}")
         upstream.crash()
-        await trio.sleep(ADDRESS_REUSE_DELAY_SECONDS)
+        await trio.sleep(ADDRESS_REUSE_SECONDS)
         self.free_hosts.insert(0, host)
         other_service = SERVICES[1 - SERVICES.index(upstream.service)]
         self.add_upstream(other_service)
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -35,6 +35,8 @@
 EXIT_CODES = {signal.SIGTERM: (0, -signal.SIGTERM), signal.SIGKILL: (-signal.SIGKILL,)}
 # Events that say that a process met an error that the soak did not cause.
 FAILURE_EVENTS = ("task_failed", "ended")
+# The address of a stopped upstream is in use again after this time.
+ADDRESS_REUSE_SECONDS = 2.0
 # An acknowledged evacuation must be in force at all instances within this time.
 EVACUATE_SECONDS = 3.0
 
@@ -140,6 +142,9 @@
             values["operators"] = f"{machine.ip}:{CONTROL_PORT}"
             values["data_folder"] = str(self.folder / f"data-{machine.name}")
             (self.folder / f"data-{machine.name}").mkdir(exist_ok=True)
+            if machine.tree is None:
+                # Earlier versions refuse settings that they don't have.
+                values["address_reuse_seconds"] = ADDRESS_REUSE_SECONDS
         path = self.folder / f"{machine.name}.toml"
         path.write_text("".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items()))
         return path
--- a/lycheevalve/config/roles.py
+++ b/lycheevalve/config/roles.py
@@ -30,6 +30,7 @@
     "stop_seconds": Option(options.number_between(1, 3600), 6.0),
     "tolerated_losses": Option(options.integer_between(0, 3), 1),
     "catch_up_seconds": Option(options.number_between(1, 3600), 4.0),
+    "address_reuse_seconds": Option(options.number_between(0, 3600), 0),
     "data_centres": Option(options.list_of(options.check_name), ()),
     "link_mbps": Option(options.number_between(0, 1_000_000), 0),
     "log_level": Option(options.one_of(*LOG_LEVELS), "INFO", reloadable=True),
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -67,6 +67,8 @@
     now: float
     observe: object = ignore
     heartbeat_seconds: float = 1.0
+    # See UpstreamChecks.
+    address_reuse_seconds: float = 0.0
     # Returns the routes of a configuration's document by front door.
     read_routes: object = lambda document: {}
     messages: list = attrs.field(factory=list)
@@ -99,7 +101,9 @@
         )
         self.evacuations = AppliedEvacuations(self.apply_evacuations)
         self.departures = Departures(self.address)
-        self.checks = UpstreamChecks(self.lookups.cookies.find, self.list_serving)
+        self.checks = UpstreamChecks(
+            self.lookups.cookies.find, self.list_serving, self.address_reuse_seconds
+        )
         self.feed = Feed(
             self.incarnation,
             self.upstreams,
--- a/lycheevalve/coordination/upstream_checks.py
+++ b/lycheevalve/coordination/upstream_checks.py
@@ -14,10 +14,16 @@
 A service may accept no connections at all, though its upstreams answer callers. So a failed
 check counts only if another upstream of the service has accepted a connection; a few others
 are checked for that.
+
+An upstream that has ended may not be known to have: the next process at its address, of any
+service, accepts the connection instead. An accepted one counts only while the address can't
+be in use again.
 """
 
 import attrs
 
+from lycheevalve.coordination.feeds import LONG_POLL_SECONDS
+
 # After a check the next one of the same upstream starts at the earliest after this time.
 CHECK_INTERVAL_SECONDS = 0.3
 # How often an unreachable upstream is checked again.
@@ -42,6 +48,9 @@
 
     find_upstream: object
     list_upstreams: object
+    # How soon the address of an upstream that has ended may be in use again; 0 if not before
+    # its lease has expired.
+    address_reuse_seconds: float = 0.0
     queue: list = attrs.field(factory=list)
     running: set[int] = attrs.field(factory=set)
     checked_at: dict[int, float] = attrs.field(factory=dict)
@@ -97,17 +106,26 @@
     def record_result(self, cookie, is_reachable, now):
         """Record the result of a check; None if it was inconclusive."""
         self.running.discard(cookie)
-        if is_reachable is None:
-            return
         upstream = self.find_upstream(cookie)
+        if is_reachable is None or (is_reachable and self.may_be_replaced(upstream, now)):
+            return
         if is_reachable:
             self.failed.discard(cookie)
+            self.accepted_at[upstream.service] = now
         else:
             self.failed.add(cookie)
-        if upstream is not None and is_reachable:
-            self.accepted_at[upstream.service] = now
         self.conclude(now)
 
+    def may_be_replaced(self, upstream, now):
+        """Return whether another process may have the address of an upstream."""
+        if self.is_ended(upstream, now):
+            return True
+        if not self.address_reuse_seconds:
+            return False
+        # What an upstream announces to another replica arrives with the answer to a poll.
+        last_seen_at = upstream.reported_at - LONG_POLL_SECONDS
+        return now - last_seen_at >= self.address_reuse_seconds
+
     def conclude(self, now):
         """Update which upstreams are unreachable."""
         before = self.list_unreachable()
--- a/lycheevalve/daemon/control.py
+++ b/lycheevalve/daemon/control.py
@@ -82,6 +82,7 @@
             now=trio.current_time(),
             observe=self.observe,
             heartbeat_seconds=settings.heartbeat_ms / 1000,
+            address_reuse_seconds=settings.address_reuse_seconds,
             read_routes=read_routes,
         )
         self.lookup_key = derive_key(settings.key.encode())
--- a/lycheevalve/schema/settings.thrift
+++ b/lycheevalve/schema/settings.thrift
@@ -77,4 +77,7 @@
   19: double link_mbps = 0.0
   // How long an instance that is back, or the successor of one, still counts as lost.
   20: double catch_up_seconds = 4.0
+  // How soon the address of an upstream that has ended may be in use again; 0 if not before
+  // its lease has expired.
+  21: double address_reuse_seconds = 0.0
 }
--- a/lycheevalve/tests/test_template.py
+++ b/lycheevalve/tests/test_template.py
@@ -22,7 +22,7 @@
     "limits": {"linkMbps": 1000.0},
     "heartbeatMs": 770,
     "faultTolerance": {"machines": 1},
-    "bounds": {"graceS": 6, "catchUpS": 5},
+    "bounds": {"graceS": 6, "catchUpS": 5, "addrReuseS": 2},
 }
 ADDRESSES = {
     "entry": {"datagramAddr": "10.1.0.10:8172", "readyAddr": "10.1.0.10:8167"},
@@ -88,6 +88,7 @@
         assert settings.data_centres == list(FIELDS["zones"])
         assert (settings.stop_seconds, settings.link_mbps) == (6, 1000)
         assert settings.catch_up_seconds == 5
+        assert settings.address_reuse_seconds == 2
 
     def test_a_time_for_stopping_may_be_a_fraction(self, tmp_path):
         """Only integers were valid, and no process of such a deployment started."""
--- a/lycheevalve/tests/test_upstream_checks.py
+++ b/lycheevalve/tests/test_upstream_checks.py
@@ -34,6 +34,8 @@
 
 KEY = lookups.derive_key(b"key of the site")
 LIFETIME_MS = 60_000
+# On some sites, addresses are in use again before leases expire.
+ADDRESS_REUSE_SECONDS = 2.0
 # By then the replica has checked, and all instances have its findings.
 SHARED_SECONDS = 0.1
 
@@ -85,6 +87,31 @@
         replica.checks.record_result(cookie, True, 0.1)
         assert not replica.checks.accepts_connections("nightsync", 0.1)
 
+    def test_connection_to_a_process_that_is_not_registered_yet_says_nothing(self):
+        """The upstream had crashed, and its lease went on; soak, seed 234."""
+        replica = Replica()
+        replica.checks.address_reuse_seconds = ADDRESS_REUSE_SECONDS
+        replica.checks.accepted_at.clear()
+        cookie = replica.find(1).cookie
+        replica.checks.record_result(cookie, True, ADDRESS_REUSE_SECONDS + 0.1)
+        assert not replica.checks.accepts_connections("nightsync", ADDRESS_REUSE_SECONDS + 0.1)
+
+    def test_connection_to_an_upstream_that_has_just_announced_itself_counts(self):
+        replica = Replica()
+        replica.checks.address_reuse_seconds = ADDRESS_REUSE_SECONDS
+        replica.checks.accepted_at.clear()
+        replica.checks.record_result(replica.find(1).cookie, True, 0.1)
+        assert replica.checks.accepts_connections("nightsync", 0.1)
+
+    def test_next_process_at_an_address_does_not_end_a_failure(self):
+        """Callers went on to be sent to the upstream that had crashed."""
+        replica = Replica()
+        replica.checks.address_reuse_seconds = ADDRESS_REUSE_SECONDS
+        replica.check(1, is_accepted=False, now=ADDRESS_REUSE_SECONDS)
+        cookie = replica.find(1).cookie
+        replica.checks.record_result(cookie, True, ADDRESS_REUSE_SECONDS + 0.1)
+        assert replica.checks.list_unreachable() == [cookie]
+
     def test_accepted_connection_changes_nothing(self):
         replica = Replica()
         assert replica.check(1, is_accepted=True)
