--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -20,10 +20,10 @@
 from lycheevalve.flows.front_doors import list_services
 from lycheevalve.flows.lookups import LookupTable
 from lycheevalve.flows.registrations import (
-    describe,
     find_deregistered,
     find_objection,
     has_ended,
+    report_left_out,
 )
 from lycheevalve.flows.upstreams import Upstreams, version_of
 from lycheevalve.schema.generated import messages
@@ -148,8 +148,7 @@
         services = self.upstreams.services
         reason = find_objection(registration, existing, now, services, is_complete)
         if reason:
-            details = describe(registration)
-            self.observe("registration_left_out", source=source, reason=reason, **details)
+            report_left_out(self.observe, registration, source, reason)
         return not reason
 
     def adopt_registration(self, registration, now, source=""):
--- a/lycheevalve/entry.py
+++ b/lycheevalve/entry.py
@@ -19,7 +19,7 @@
 from lycheevalve.flows.isolation import has_local_capacity, reaches_other_data_centres
 from lycheevalve.flows.link_scheduler import build_scheduler
 from lycheevalve.flows.lost_upstreams import LostUpstreams
-from lycheevalve.flows.registrations import describe, find_objection
+from lycheevalve.flows.registrations import find_objection, report_left_out
 from lycheevalve.flows.reported_leases import update_leases
 from lycheevalve.flows.upstreams import Upstreams
 from lycheevalve.reports.latencies import Latencies
@@ -362,8 +362,7 @@
         # The control replicas have the newest services, and leave out the others.
         reason = find_objection(registration, current, now)
         if reason:
-            details = describe(registration)
-            self.observe("registration_left_out", source=sender, reason=reason, **details)
+            report_left_out(self.observe, registration, sender, reason)
             return
         previous = current.registration if current is not None else None
         if self.cookie_router.update_upstream(registration, now) and not is_renewal(
--- a/lycheevalve/flows/registrations.py
+++ b/lycheevalve/flows/registrations.py
@@ -65,10 +65,13 @@
     return newest.incarnation > incarnation
 
 
-def describe(registration):
-    """Return the fields of an event about a registration that is left out."""
-    return {
-        "upstream": registration.name,
-        "address": registration.address,
-        "service": registration.service_name,
-    }
+def report_left_out(observe, registration, source, reason):
+    """Log a registration that names no upstream; `source` is the replica that sent it."""
+    observe(
+        "registration_left_out",
+        upstream=registration.name,
+        address=registration.address,
+        service=registration.service_name,
+        source=source,
+        reason=reason,
+    )
--- a/lycheevalve/tests/fakes/platform.py
+++ b/lycheevalve/tests/fakes/platform.py
@@ -18,6 +18,19 @@
 RESTORE_PATH = "/Evacuations.Stop/"
 REQUEST_ID = re.compile(rb"X-Lycheevalve-Request-Id: (\S+)")
 
+# The body of a sound heartbeat.
+HEARTBEAT = {
+    "service": "nightsync",
+    "address": "127.0.0.9:9000",
+    "zone": "dc1",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 0,
+    "sequence": 1,
+    "born": 1,
+}
+
 
 @attrs.frozen
 class Segment:
--- a/lycheevalve/tests/test_boundaries.py
+++ b/lycheevalve/tests/test_boundaries.py
@@ -18,22 +18,12 @@
 from lycheevalve.logs.queue import queue
 from lycheevalve.schema.generated.messages import Poll
 from lycheevalve.tests.fakes import role_processes
+from lycheevalve.tests.fakes.platform import HEARTBEAT
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, find_port
 
 RESETS = 300
 # With this option close() sends a reset.
 LINGER_ZERO = struct.pack("ii", 1, 0)
-HEARTBEAT = {
-    "service": "nightsync",
-    "address": "127.0.0.9:9000",
-    "zone": "dc1",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "warmupLeftMs": 0,
-    "sequence": 1,
-    "born": 1,
-}
 ROUTE = {
     "name": "r1",
     "host": "198.18.0.1",
--- a/lycheevalve/tests/test_task_failures.py
+++ b/lycheevalve/tests/test_task_failures.py
@@ -9,20 +9,10 @@
 
 import pytest
 
+from lycheevalve.tests.fakes.platform import HEARTBEAT
 from lycheevalve.tests.fakes.role_processes import build_control, build_entry, wait_for
 
 FAILING_ROLE = (sys.executable, "-m", "lycheevalve.tests.fakes.failing_role")
-HEARTBEAT = {
-    "service": "nightsync",
-    "address": "127.0.0.9:9000",
-    "zone": "dc1",
-    "version": "v1",
-    "slots": 2,
-    "warmupLeftMs": 0,
-    "state": "ready",
-    "sequence": 1,
-    "born": 1,
-}
 # Each configuration needs a higher version than the one before.
 VERSIONS = itertools.count(1)
 CONTROL_PLACES = (
