--- a/bench/mutations/inputs.py
+++ b/bench/mutations/inputs.py
@@ -22,6 +22,13 @@
         "            pass\n",
         f"{ODD_REGISTRATIONS}::TestTakenAddresses",
     ),
+    Mutant(
+        "inputs: a sequence far ahead hides the heartbeats of a target",
+        "flows/registrations.py",
+        "    if calls > MAX_CALLS_PER_SECOND * (elapsed_seconds + 1):\n",
+        "    if False:\n",
+        f"{ODD_REGISTRATIONS}::TestTakenAddresses",
+    ),
     Mutant(
         "inputs: a copied start under another name takes an address",
         "flows/registrations.py",
--- a/lycheevalve/flows/registrations.py
+++ b/lycheevalve/flows/registrations.py
@@ -9,6 +9,10 @@
 
 from lycheevalve.flows.upstreams import UpstreamState, find_address
 
+# A larger sequence than this allows is not the upstream's own, and would hide its later calls.
+# Upstreams may number their calls by milliseconds.
+MAX_CALLS_PER_SECOND = 10_000
+
 
 def find_objection(registration, current, now, services=(), is_complete=True):
     """
@@ -28,17 +32,25 @@
     if is_unknown is not is_current_unknown:
         reason = f"unknown service at the address of an upstream of {current.service!r}"
         return reason if is_unknown else ""
-    return find_contradiction(registration, current.registration)
+    elapsed_seconds = max(0.0, now - current.reported_at)
+    return find_contradiction(registration, current.registration, elapsed_seconds)
+
 
+def find_contradiction(registration, current, elapsed_seconds):
+    """
+    Return why a registration can't be of the upstream at its address, or an empty string.
 
-def find_contradiction(registration, current):
-    """Return what of a registration its upstream can't have changed since its start."""
+    `current` is what that announced `elapsed_seconds` ago.
+    """
     if registration.incarnation != current.incarnation:
         return ""
     if registration.name != current.name:
         return f"{current.name!r} is at this address since the same start"
     if registration.service_name != current.service_name:
         return f"the same upstream serves {current.service_name!r} since its start"
+    calls = registration.sequence - current.sequence
+    if calls > MAX_CALLS_PER_SECOND * (elapsed_seconds + 1):
+        return f"{calls} calls in {elapsed_seconds:.1f} s"
     return ""
 
 
--- a/lycheevalve/tests/test_odd_registrations.py
+++ b/lycheevalve/tests/test_odd_registrations.py
@@ -169,6 +169,36 @@
         found = self.announce(name="i-odd", sequence=9)
         assert found == (False, [["i-00000001"]] * 2)
 
+    @pytest.mark.parametrize("sequence", [100_000, 2**31 - 1])
+    def test_sequence_far_ahead_hides_no_heartbeat(self, sequence):
+        """The target's own heartbeats were ignored until its next start, its drain too."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(2.0)
+        cluster.commit(3)
+        replica = cluster.running[cluster.seeds[0]]
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        replica.handle_announcement(sound, "sound", cluster.now)
+        odd = attrs.evolve(sound, sequence=sequence)
+        replica.handle_announcement(odd, "odd", cluster.now)
+        cluster.run(1.0)
+        drained = attrs.evolve(sound, sequence=2, draining=True)
+        replica.handle_announcement(drained, "drained", cluster.now)
+        cluster.run(1.0)
+        assert cluster.acknowledgements == {"sound": True, "odd": False, "drained": True}
+        assert list_found(cluster) == [[]] * 2
+
+    def test_sequence_may_be_a_time(self):
+        """An upstream that was cut off for a minute numbers its calls by milliseconds."""
+        cluster = ControlCluster(controls=2)
+        cluster.run(2.0)
+        replica = cluster.running[cluster.seeds[0]]
+        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
+        replica.handle_announcement(sound, "sound", cluster.now)
+        later = attrs.evolve(sound, sequence=sound.sequence + 60_000)
+        replica.handle_announcement(later, "later", cluster.now + 60.0)
+        cluster.run(0.1)
+        assert cluster.acknowledgements["later"]
+
     def test_start_copied_by_an_unknown_service_hides_no_target(self):
         cluster = ControlCluster(controls=2)
         cluster.run(2.0)
