--- a/lycheevalve/tests/test_reachability.py
+++ b/lycheevalve/tests/test_reachability.py
@@ -236,7 +236,8 @@
         region.run(0.5)
         assert region.found == []
 
-    def test_all_answers_are_late_and_the_near_ones_have_just_arrived(self):
+    @pytest.mark.parametrize("is_opening", [False, True])
+    def test_all_answers_are_late_and_the_near_ones_have_just_arrived(self, is_opening):
         """
         The own link or process is slow.
 
@@ -244,7 +245,11 @@
         found two sound data centres cut off, and FLOW was broken 14 times.
         """
         region = Region()
-        region.repeat(region.upstreams["dc2"][0])
+        upstream = region.upstreams["dc2"][0]
+        if is_opening:
+            # Evidence at once: an upstream acknowledges it without waiting for a slot.
+            record_silence(upstream, b"opening", region.now - 0.2, region.now, True)
+        region.repeat(upstream)
         region.probes.clear()
         for _ in range(12):
             region.now += TICK_SECONDS
