--- a/lycheevalve/tests/test_bad_inputs.py
+++ b/lycheevalve/tests/test_bad_inputs.py
@@ -134,6 +134,11 @@
         self.target.settimeout(0.2)
         self.numbers = iter(range(1, 10_000))
 
+    @property
+    def target_address(self):
+        """Return the address of the target, as text."""
+        return f"{TARGET_HOST}:{self.target.getsockname()[1]}"
+
     def close(self):
         """Kill both processes."""
         self.control.stop()
@@ -182,8 +187,8 @@
 
     def is_served(self, number):
         """Return whether the target gets the opening packet of a new flow."""
-        address = f"{TARGET_HOST}:{self.target.getsockname()[1]}"
-        heartbeat = build_heartbeat(zone="dc1", address=address, service="a", sequence=number)
+        values = {"zone": "dc1", "service": "a", "address": self.target_address}
+        heartbeat = build_heartbeat(sequence=number, **values)
         assert self.call("POST", "/Instances.Heartbeat/i-7", heartbeat)[0] == 200
         data = self.send_packet(PORT, number)
         try:
@@ -269,12 +274,29 @@
     def test_entry_of_an_unknown_service_takes_no_address(self, fresh_site, name):
         """It took the target's address with a later start, or its name with a later number."""
         fresh_site.check()
-        address = f"{TARGET_HOST}:{fresh_site.target.getsockname()[1]}"
+        address = fresh_site.target_address
         start = 1_700_000_000_000 if name == "i-7" else 1_800_000_000_000
         body = build_heartbeat(service="x", address=address, born=start, sequence=10**6)
         assert fresh_site.call("POST", f"/Instances.Heartbeat/{name}", body)[0] == 503
         fresh_site.check()
 
+    def test_target_is_found_where_an_unknown_service_came_first(self, fresh_site):
+        """It held the address by its later start, and the target was ignored."""
+        address = fresh_site.target_address
+        body = build_heartbeat(service="x", address=address, born=1_800_000_000_000)
+        # Refused until the replica knows all upstreams in use.
+        wait_for(lambda: fresh_site.call("POST", "/Instances.Heartbeat/i-8", body)[0] == 200)
+        fresh_site.check()
+
+    @pytest.mark.parametrize(("name", "sequence"), [("i-7", 10**6), ("i-8", 100)])
+    def test_copy_of_its_heartbeat_hides_no_later_one(self, fresh_site, name, sequence):
+        """Later heartbeats of the target were ignored, or it was sent packets for i-8."""
+        fresh_site.check()
+        values = {"zone": "dc1", "service": "a", "address": fresh_site.target_address}
+        body = build_heartbeat(sequence=sequence, **values)
+        assert fresh_site.call("POST", f"/Instances.Heartbeat/{name}", body)[0] == 503
+        fresh_site.check()
+
 
 class TestBadInputs:
     """No input ends a process, or keeps it from serving others."""
