--- a/bench/mutations/flows.py
+++ b/bench/mutations/flows.py
@@ -155,7 +155,7 @@
         "platform/documents.py",
         "    check_document(value)\n",
         "",
-        "test_platform.py::TestConfigurations",
+        "test_platform_configurations.py",
     ),
     Mutant(
         "partitions: an entry instance with too few upstreams stays ready",
--- a/bench/mutations/inputs.py
+++ b/bench/mutations/inputs.py
@@ -90,7 +90,7 @@
         "platform/documents.py",
         '    return services + [backend["service"] for backend in weighted]\n',
         '    return [backend["service"] for backend in weighted]\n',
-        "test_platform.py::TestConfigurations",
+        "test_platform_configurations.py",
     ),
     Mutant(
         "inputs: an unreadable configuration counts as applied",
