--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -44,6 +44,20 @@
         "    return until - max(silence.sent_at, answered_at)",
         f"{EVIDENCE}::TestDeliveries",
     ),
+    Mutant(
+        "load: the first copy of a request at work is evidence",
+        "flows/failure_evidence.py",
+        "MIN_COPIES = 2",
+        "MIN_COPIES = 1",
+        f"{EVIDENCE}::TestFalseEvidence",
+    ),
+    Mutant(
+        "load: the first copy of a request at work is evidence of a cut",
+        "flows/lost_upstreams.py",
+        "        if not silence.is_unacknowledged():\n            return False\n",
+        "",
+        f"{REACHABILITY}::TestRequestsAtWork",
+    ),
     Mutant(
         "load: one silent flow resets all",
         "flows/failure_evidence.py",
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -12,7 +12,7 @@
   last packet that has been answered: packets to this instance queue too, and an answer
   may be on its way.
 - Opening packets and every second data packet are acknowledged at once, by a busy
-  upstream too. A single data packet is acknowledged by its answer.
+  upstream too. A single data packet is acknowledged by its answer or after its first copy.
 - One caller or its path may fail, so two flows have to agree unless one waits for long.
 
 An upstream that has failed is remembered until it answers: then one silent flow suffices.
@@ -31,6 +31,8 @@
 # multiple of the service's mean time to an answer where that is longer.
 ANSWER_SECONDS = 0.5
 ANSWER_TIME_FACTOR = 4.0
+# A single packet counts from this copy on.
+MIN_COPIES = 2
 # A single flow without any other evidence: three retransmissions and this long.
 SINGLE_FLOW_SECONDS = 1.0
 SINGLE_FLOW_COPIES = 3
@@ -99,6 +101,15 @@
     # Whether the upstream acknowledges them without waiting for a slot.
     acknowledged_at_once: bool = False
 
+    def is_unacknowledged(self):
+        """
+        Return whether the caller would not have sent the last copy to a working upstream.
+
+        A single packet may be at work after its first copy. That copy is the second packet
+        that the upstream gets, which it acknowledges at once.
+        """
+        return self.acknowledged_at_once or self.copies >= MIN_COPIES
+
     def is_valid(self, now):
         """Return whether the caller may still be waiting for an answer here."""
         is_first = self.copies == 1
@@ -144,7 +155,11 @@
             (silence, measure_wait(silence, upstream.answered_at, self.deliveries))
             for silence in upstream.silences.values()
         ]
-        overdue = [silence for silence, wait in waits if wait >= answer_time(silence, mean)]
+        overdue = [
+            silence
+            for silence, wait in waits
+            if silence.is_unacknowledged() and wait >= answer_time(silence, mean)
+        ]
         single_flow_seconds = max(SINGLE_FLOW_SECONDS, ANSWER_TIME_FACTOR * mean)
         failed = len(overdue) >= AGREEING_FLOWS or any(
             silence.copies >= SINGLE_FLOW_COPIES and wait >= single_flow_seconds
@@ -208,7 +223,7 @@
         for number, upstream in enumerate(upstreams):
             mean = self.mean_seconds.get(upstream.service, 0.0)
             for silence in upstream.silences.values():
-                if not silence.is_valid(now):
+                if not (silence.is_valid(now) and (remembered or silence.is_unacknowledged())):
                     continue
                 limit = ACKNOWLEDGEMENT_SECONDS if remembered else answer_time(silence, mean)
                 flows[number] += measure_wait(silence, answered_at, self.deliveries) >= limit
--- a/lycheevalve/flows/lost_upstreams.py
+++ b/lycheevalve/flows/lost_upstreams.py
@@ -71,6 +71,8 @@
         """Return whether an upstream would have answered if packets reached it."""
         if self.is_unreachable(upstream, now):
             return True
+        if not silence.is_unacknowledged():
+            return False
         return now - silence.sent_at >= self.failures.answer_time(upstream, silence)
 
     def is_unreachable(self, upstream, now):
--- a/lycheevalve/flows/reachability.py
+++ b/lycheevalve/flows/reachability.py
@@ -31,8 +31,9 @@
 # The answers of others have to be there for this long before the silence of a data centre
 # counts: all answers are late together if the own link or process is slow.
 ANSWER_MARGIN_SECONDS = 0.09
-# A round without such an answer ends after this time.
-MAX_ROUND_SECONDS = 0.4
+# A round without such an answer ends after this time; callers send the second copy of a request
+# 0.4 s after the first.
+MAX_ROUND_SECONDS = 0.5
 # A later tick than this means that answers may still wait in the socket.
 LATE_TICK_SECONDS = 0.12
 # How often a data centre that is cut off is probed.
--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -1,5 +1,6 @@
 """Resets of open flows need evidence against the upstream, not against this instance's link."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
@@ -89,6 +90,26 @@
             world.run(0.5)
         assert world.false_resets == []
 
+    @pytest.mark.parametrize("flows", [2, 4])
+    @pytest.mark.parametrize("seconds", [0.55, 0.75, 0.9, 1.2])
+    @pytest.mark.parametrize("pause", [0.0, 0.05, 0.15])
+    def test_requests_at_work_for_long_reset_nothing(self, flows, seconds, pause):
+        """
+        Their first copies acknowledge them, and no second ones follow.
+
+        The soak's known resets while calm: two slow requests at one upstream at once.
+        """
+        world = build_busy_world(counts_copies=True)
+        upstream = world.callers[0].upstream
+        world.answer_seconds[upstream.index] = seconds
+        slow = [c for c in world.callers if c.upstream is upstream][:flows]
+        world.request(slow[0])
+        self.run_others(world, upstream, pause)
+        for caller in slow[1:]:
+            world.request(caller)
+        self.run_others(world, upstream, 2.0)
+        assert world.false_resets == []
+
     def test_service_that_is_slow_as_a_whole_resets_nothing(self):
         """Machines are busy: all answers take longer than a second retransmission."""
         world = build_busy_world()
@@ -245,6 +266,22 @@
         assert world.sound_resets
         assert world.false_resets == []
 
+    def test_lost_opening_packet_at_a_busy_upstream_beside_a_dark_one(self):
+        """Found by the machine of slow requests, with lost packets among its rules."""
+        detector = FailureDetector()
+        dark, busy = (
+            Upstream(n, build_registration(n, data_centre="dc2"), ("", n), 0.0, 9.0, 0.0)
+            for n in (3, 4)
+        )
+        for upstream, key in ((dark, b"a"), (dark, b"b"), (busy, b"lost")):
+            failure_evidence.record_silence(upstream, key, 0.1, 0.3, True)
+        failure_evidence.record_silence(busy, b"at work", 0.1, 0.3, False)
+        for at in (0.12, 0.3):
+            detector.deliveries.record(at, at + 0.01)
+        detector.find_silent_data_centres([dark, busy], 0.35)
+        assert detector.is_cut_off(dark, 0.35)
+        assert not detector.is_cut_off(busy, 0.35)
+
     def test_new_flows_avoid_it(self):
         world = self.build()
         for index in (4, 5, 6):
@@ -375,3 +412,24 @@
 
 TestEvidence = EvidenceMachine.TestCase
 TestEvidence.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+
+
+class SlowRequestMachine(EvidenceMachine):
+    """Requests are at work for longer, and copies are acknowledged; no packet is lost."""
+
+    congest = congest_inbound = lose_packet = None
+
+    @initialize()
+    def start(self):
+        self.world = World(2, remote=2, counts_copies=True)
+        for _ in range(12):
+            self.world.start_flow()
+        self.world.run(0.1)
+
+    @rule(index=st.integers(1, 4), seconds=st.sampled_from((0.05, 0.45, 0.75, 1.2)))
+    def change_speed(self, index, seconds):
+        self.world.answer_seconds[index] = seconds
+
+
+TestSlowRequests = SlowRequestMachine.TestCase
+TestSlowRequests.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
--- a/lycheevalve/tests/test_flow_resets.py
+++ b/lycheevalve/tests/test_flow_resets.py
@@ -37,6 +37,7 @@
         for _ in range(6):
             region.deliver()
             region.now += TICK_SECONDS
+            region.finish_checks()
             region.answer(region.upstreams["dc3"][0])
             region.upstreams["dc3"][0].unanswered = 0
             region.router.tick(region.now)
