--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -91,12 +91,17 @@
         self.check_open()
         data, start = build_request(request), self.sequence
         self.sequence += len(data)
+        is_acknowledged = False
         for seconds in RETRANSMIT_TIMEOUTS_SECONDS:
-            await self.send(ACK, data, start)
+            if not is_acknowledged:
+                await self.send(ACK, data, start)
             deadline = trio.current_time() + seconds
             while (remaining := deadline - trio.current_time()) > 0:
                 segment = await self.receive(remaining)
-                if segment is not None and segment.data:
+                if segment is None:
+                    continue
+                is_acknowledged = is_acknowledged or segment.acknowledged >= self.sequence
+                if segment.data:
                     answer = await self.acknowledge_data(segment)
                     if answer is not None:
                         return answer
--- a/bench/soak/upstreams.py
+++ b/bench/soak/upstreams.py
@@ -32,6 +32,7 @@
 SLOW_REQUEST_SHARE = 0.03
 SLOW_REQUEST_SECONDS = 0.75
 RETRANSMIT_TIMEOUTS_SECONDS = (0.2, 0.4, 0.8, 1.6)
+PACKETS_PER_ACKNOWLEDGEMENT = 2
 # An upstream accepts new flows for this long after its draining state is acknowledged.
 DRAIN_SECONDS = 3.0
 # Maximum time that an upstream waits for its flows to end; the soak's sessions are shorter.
@@ -63,6 +64,8 @@
     expected_sequence: int
     # The highest acknowledgement number received from the caller.
     acknowledged: int = 0
+    # Packets with data, copies too, since this side last sent an acknowledgement.
+    unacknowledged: int = 0
     # Whether the caller has acknowledged the opening answer of this upstream: a copy of its
     # first packet may have reached another one, whose answer it acknowledged instead.
     is_open: bool = False
@@ -210,7 +213,10 @@
         if segment.sequence == flow.expected_sequence:
             flow.expected_sequence += len(segment.data)
             self.nursery.start_soon(self.answer_request, flow, segment)
-        await self.send(segment, ACK, flow.next_sequence, flow.expected_sequence)
+        flow.unacknowledged += 1
+        if flow.unacknowledged >= PACKETS_PER_ACKNOWLEDGEMENT:
+            flow.unacknowledged = 0
+            await self.send(segment, ACK, flow.next_sequence, flow.expected_sequence)
 
     async def answer_request(self, flow, segment):
         """Run a request; retransmit its answer until it is acknowledged."""
@@ -224,6 +230,7 @@
         # A draining upstream closes a flow with its next answer.
         closes = self.state == "draining"
         for seconds in RETRANSMIT_TIMEOUTS_SECONDS:
+            flow.unacknowledged = 0
             await self.send(segment, ACK, start, flow.expected_sequence, answer)
             if closes:
                 await self.send(segment, FIN | ACK, end, flow.expected_sequence)
