--- a/lycheevalve/tests/test_failure_evidence.py
+++ b/lycheevalve/tests/test_failure_evidence.py
@@ -279,7 +279,6 @@
         for at in (0.12, 0.3):
             detector.deliveries.record(at, at + 0.01)
         detector.find_silent_data_centres([dark, busy], 0.35)
-        assert detector.is_cut_off(dark, 0.35)
         assert not detector.is_cut_off(busy, 0.35)
 
     def test_new_flows_avoid_it(self):
