--- a/bench/mutations/inputs.py
+++ b/bench/mutations/inputs.py
@@ -130,7 +130,7 @@
     Mutant(
         "inputs: an unknown service takes the address of an upstream",
         "flows/registrations.py",
-        '        return reason if is_unknown else ""\n',
+        '        return "" if is_new_known else reason\n',
         '        return ""\n',
         f"{ODD_REGISTRATIONS}::TestTakenAddresses",
     ),
--- a/bench/mutations/load.py
+++ b/bench/mutations/load.py
@@ -53,9 +53,9 @@
     ),
     Mutant(
         "load: the first copy of a request at work is evidence of a cut",
-        "flows/lost_upstreams.py",
-        "        if not silence.is_unacknowledged():\n            return False\n",
-        "",
+        "flows/failure_evidence.py",
+        "MIN_COPIES = 2",
+        "MIN_COPIES = 1",
         f"{REACHABILITY}::TestRequestsAtWork",
     ),
     Mutant(
@@ -236,7 +236,7 @@
     Mutant(
         "load: a request at work is evidence of a cut",
         "flows/lost_upstreams.py",
-        "        return now - silence.sent_at >= self.failures.answer_time(upstream, silence)",
+        "        return self.failures.is_overdue(upstream, silence, now - silence.sent_at)",
         "        return True",
         f"{REACHABILITY}::TestRequestsAtWork",
     ),
--- a/lycheevalve/commands/client.py
+++ b/lycheevalve/commands/client.py
@@ -9,7 +9,11 @@
 from lycheevalve.config.options import Findings, read_table
 from lycheevalve.config.site import SITE_OPTIONS
 from lycheevalve.coordination.configuration import Outcome
-from lycheevalve.daemon.links import make_codec_factory, open_connection
+from lycheevalve.daemon.links import (
+    BROKEN_CONNECTION_ERRORS,
+    make_codec_factory,
+    open_connection,
+)
 from lycheevalve.exceptions import LycheevalveError, UnavailableError
 from lycheevalve.schema.generated.messages import Failure, Status, StatusRequest
 from lycheevalve.schema.generated.settings import Site
@@ -55,7 +59,7 @@
                 try:
                     await connection.send(message)
                     _, answer = await connection.receive()
-                except (trio.BrokenResourceError, OSError) as error:
+                except BROKEN_CONNECTION_ERRORS as error:
                     raise UnavailableError(str(error), "request", address) from error
             if isinstance(answer, Failure):
                 raise UnavailableError(answer.reason, answer.step, answer.peer or address)
--- a/lycheevalve/control.py
+++ b/lycheevalve/control.py
@@ -144,9 +144,8 @@
     def names_upstream(self, registration, now, source=""):
         """Return whether a registration names an upstream to use; log why not."""
         existing = self.upstreams.find_at(registration.address)
-        is_complete = self.feed.is_settled(now)
-        services = self.upstreams.services
-        reason = find_objection(registration, existing, now, services, is_complete)
+        is_known, is_complete = self.upstreams.is_known, self.feed.is_settled(now)
+        reason = find_objection(registration, existing, now, is_known, is_complete)
         if reason:
             report_left_out(self.observe, registration, source, reason)
         return not reason
@@ -393,7 +392,7 @@
         """
         routes = self.read_routes(configuration.document)
         self.lookups.set_routes(routes, configuration.revision)
-        # Other replicas send the registrations that were left out again, with their renewals.
+        # Registrations that were left out come again, with their renewals.
         self.upstreams.set_services(list_services(routes))
         self.observe("in_force", revision=configuration.revision)
 
--- a/lycheevalve/daemon/links.py
+++ b/lycheevalve/daemon/links.py
@@ -34,14 +34,10 @@
 # a link without any, as that of a machine without power.
 SILENCE_TIMEOUT_SECONDS = 15.0
 QUEUE_MESSAGES = 256
+# What a connection raises that its peer has reset.
+BROKEN_CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 # Errors that close one link and affect nothing else.
-LINK_ERRORS = (
-    LycheevalveError,
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    trio.TooSlowError,
-)
+LINK_ERRORS = (LycheevalveError, *BROKEN_CONNECTION_ERRORS, trio.TooSlowError)
 
 
 async def read_exactly(stream, count, seconds=math.inf):
--- a/lycheevalve/daemon/polling.py
+++ b/lycheevalve/daemon/polling.py
@@ -14,7 +14,7 @@
 from lycheevalve.coordination.feeds import LONG_POLL_SECONDS
 from lycheevalve.daemon.boundaries import report_failure
 from lycheevalve.daemon.events import Received
-from lycheevalve.daemon.links import LINK_ERRORS, open_connection
+from lycheevalve.daemon.links import BROKEN_CONNECTION_ERRORS, LINK_ERRORS, open_connection
 from lycheevalve.exceptions import UnavailableError
 from lycheevalve.logs.queue import record
 from lycheevalve.schema.generated.messages import Failure
@@ -29,8 +29,6 @@
 MIN_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 0.8
 QUEUE_MESSAGES = 8
-# What a connection raises whose peer has reset it.
-BROKEN_CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 @attrs.frozen
--- a/lycheevalve/flows/failure_evidence.py
+++ b/lycheevalve/flows/failure_evidence.py
@@ -137,9 +137,22 @@
         mean = self.mean_seconds.get(service, seconds)
         self.mean_seconds[service] = mean + MEAN_WEIGHT * (seconds - mean)
 
-    def answer_time(self, upstream, silence):
-        """Return how many seconds an upstream may take to answer if it works."""
-        return answer_time(silence, self.mean_seconds.get(upstream.service, 0.0))
+    def is_overdue(self, upstream, silence, seconds):
+        """Return whether a working upstream would have ended a silence of `seconds`."""
+        mean = self.mean_seconds.get(upstream.service, 0.0)
+        return silence.is_unacknowledged() and seconds >= answer_time(silence, mean)
+
+    def list_waits(self, upstream, answered_at, now):
+        """Return (silence, seconds it has provably lasted) of the silences that are valid."""
+        return [
+            (silence, measure_wait(silence, answered_at, self.deliveries))
+            for silence in upstream.silences.values()
+            if silence.is_valid(now)
+        ]
+
+    def list_overdue(self, upstream, waits):
+        """Return the silences that a working upstream would have ended by now."""
+        return [s for s, wait in waits if self.is_overdue(upstream, s, wait)]
 
     def has_failed(self, upstream, now):
         """
@@ -151,11 +164,8 @@
             if not silence.is_valid(now):
                 del upstream.silences[key]
         mean = self.mean_seconds.get(upstream.service, 0.0)
-        waits = [
-            (silence, measure_wait(silence, upstream.answered_at, self.deliveries))
-            for silence in upstream.silences.values()
-        ]
-        overdue = self.list_overdue(upstream, upstream.answered_at, now)
+        waits = self.list_waits(upstream, upstream.answered_at, now)
+        overdue = self.list_overdue(upstream, waits)
         single_flow_seconds = max(SINGLE_FLOW_SECONDS, ANSWER_TIME_FACTOR * mean)
         failed = len(overdue) >= AGREEING_FLOWS or any(
             silence.copies >= SINGLE_FLOW_COPIES and wait >= single_flow_seconds
@@ -182,10 +192,8 @@
         silent flow of its own is needed.
         """
         return self.is_in_silent_data_centre(upstream, now) and any(
-            silence.is_valid(now)
-            and measure_wait(silence, upstream.answered_at, self.deliveries)
-            >= ACKNOWLEDGEMENT_SECONDS
-            for silence in upstream.silences.values()
+            wait >= ACKNOWLEDGEMENT_SECONDS
+            for _, wait in self.list_waits(upstream, upstream.answered_at, now)
         )
 
     def find_silent_data_centres(self, upstreams, now):
@@ -214,29 +222,14 @@
 
         One suffices if it is remembered as silent.
         """
+        waits = [self.list_waits(upstream, answered_at, now) for upstream in upstreams]
         if is_remembered(self.silent_since.get(name, float("-inf")), answered_at, now):
-            return any(
-                measure_wait(silence, answered_at, self.deliveries) >= ACKNOWLEDGEMENT_SECONDS
-                for upstream in upstreams
-                for silence in upstream.silences.values()
-                if silence.is_valid(now)
-            )
-        found = [self.list_overdue(upstream, answered_at, now) for upstream in upstreams]
+            return any(wait >= ACKNOWLEDGEMENT_SECONDS for own in waits for _, wait in own)
+        found = map(self.list_overdue, upstreams, waits)
         found = [silences for silences in found if not is_one_lost_packet(silences)]
         flows = sum(map(len, found))
         return flows >= DATA_CENTRE_FLOWS and len(found) >= DATA_CENTRE_UPSTREAMS
 
-    def list_overdue(self, upstream, answered_at, now):
-        """Return the silences that a working upstream would have ended by now."""
-        return [
-            silence
-            for silence in upstream.silences.values()
-            if silence.is_valid(now)
-            and silence.is_unacknowledged()
-            and measure_wait(silence, answered_at, self.deliveries)
-            >= self.answer_time(upstream, silence)
-        ]
-
 
 def is_one_lost_packet(silences):
     """Return whether there is no silence, or a single one that one lost packet explains."""
--- a/lycheevalve/flows/leases.py
+++ b/lycheevalve/flows/leases.py
@@ -47,6 +47,7 @@
             if find_address(registration.address) is None:
                 details = (registration.name, registration.address)
                 self.observe("bad_registrations", sender, *details)
+                continue
             self.upstreams.update(registration, now)
 
     def query_overdue(self, now):
--- a/lycheevalve/flows/lost_upstreams.py
+++ b/lycheevalve/flows/lost_upstreams.py
@@ -71,9 +71,7 @@
         """Return whether an upstream would have answered if packets reached it."""
         if self.is_unreachable(upstream, now):
             return True
-        if not silence.is_unacknowledged():
-            return False
-        return now - silence.sent_at >= self.failures.answer_time(upstream, silence)
+        return self.failures.is_overdue(upstream, silence, now - silence.sent_at)
 
     def is_unreachable(self, upstream, now):
         """Return whether control replicas report an upstream that has not answered since."""
--- a/lycheevalve/flows/registrations.py
+++ b/lycheevalve/flows/registrations.py
@@ -14,24 +14,23 @@
 MAX_CALLS_PER_SECOND = 10_000
 
 
-def find_objection(registration, current, now, services=(), is_complete=True):
+def find_objection(registration, current, now, is_known=lambda service: True, is_complete=True):
     """
     Return why a registration names no upstream, or an empty string.
 
-    `current` is the upstream at its address or None, `services` the names of the services of
-    the configuration, empty if they are not known; `is_complete` states whether all upstreams
-    that are in use are known.
+    `current` is the upstream at its address or None; `is_known(service)` returns whether the
+    configuration has a service, and `is_complete` states whether all upstreams that are in use
+    are known.
     """
     if find_address(registration.address) is None:
         return f"{registration.address!r} is not the address of a host"
-    is_unknown = bool(services) and registration.service_name not in services
+    is_new_known = is_known(registration.service_name)
     if current is None or current.state(now) is UpstreamState.GONE:
-        is_undecided = is_unknown and not is_complete
-        return "unknown service, at an address that may be in use" if is_undecided else ""
-    is_current_unknown = bool(services) and current.service not in services
-    if is_unknown is not is_current_unknown:
+        is_acceptable = is_new_known or is_complete
+        return "" if is_acceptable else "unknown service, at an address that may be in use"
+    if is_new_known is not is_known(current.service):
         reason = f"unknown service at the address of an upstream of {current.service!r}"
-        return reason if is_unknown else ""
+        return "" if is_new_known else reason
     elapsed_seconds = max(0.0, now - current.reported_at)
     return find_contradiction(registration, current.registration, elapsed_seconds)
 
--- a/lycheevalve/tests/test_bad_inputs.py
+++ b/lycheevalve/tests/test_bad_inputs.py
@@ -139,6 +139,11 @@
         """Return the address of the target, as text."""
         return f"{TARGET_HOST}:{self.target.getsockname()[1]}"
 
+    def build_heartbeat(self, sequence):
+        """Return the body of a heartbeat of the target."""
+        values = {"zone": "dc1", "service": "a", "address": self.target_address}
+        return build_heartbeat(sequence=sequence, **values)
+
     def close(self):
         """Kill both processes."""
         self.control.stop()
@@ -187,8 +192,7 @@
 
     def is_served(self, number):
         """Return whether the target gets the opening packet of a new flow."""
-        values = {"zone": "dc1", "service": "a", "address": self.target_address}
-        heartbeat = build_heartbeat(sequence=number, **values)
+        heartbeat = self.build_heartbeat(number)
         assert self.call("POST", "/Instances.Heartbeat/i-7", heartbeat)[0] == 200
         data = self.send_packet(PORT, number)
         try:
@@ -292,8 +296,7 @@
     def test_copy_of_its_heartbeat_hides_no_later_one(self, fresh_site, name, sequence):
         """Later heartbeats of the target were ignored, or it was sent packets for i-8."""
         fresh_site.check()
-        values = {"zone": "dc1", "service": "a", "address": fresh_site.target_address}
-        body = build_heartbeat(sequence=sequence, **values)
+        body = fresh_site.build_heartbeat(sequence)
         assert fresh_site.call("POST", f"/Instances.Heartbeat/{name}", body)[0] == 503
         fresh_site.check()
 
--- a/lycheevalve/tests/test_evidence_machines.py
+++ b/lycheevalve/tests/test_evidence_machines.py
@@ -10,9 +10,11 @@
 class EvidenceMachine(RuleBasedStateMachine):
     """Loss, congestion, pauses, slow and dark upstreams; no reset while an upstream answers."""
 
+    counts_copies = False
+
     @initialize()
     def start(self):
-        self.world = World(2, remote=2)
+        self.world = World(2, remote=2, counts_copies=self.counts_copies)
         for _ in range(12):
             self.world.start_flow()
         self.world.run(0.1)
@@ -76,12 +78,7 @@
 class SlowRequestMachine(EvidenceMachine):
     """The same, with requests that are at work for longer and copies that are acknowledged."""
 
-    @initialize()
-    def start(self):
-        self.world = World(2, remote=2, counts_copies=True)
-        for _ in range(12):
-            self.world.start_flow()
-        self.world.run(0.1)
+    counts_copies = True
 
     @rule(index=st.integers(1, 4), seconds=st.sampled_from((0.05, 0.45, 0.75, 1.2)))
     def change_speed(self, index, seconds):
--- a/lycheevalve/tests/test_odd_registrations.py
+++ b/lycheevalve/tests/test_odd_registrations.py
@@ -90,17 +90,23 @@
 class TestTakenAddresses:
     """Registrations at the address of an upstream in use."""
 
-    def announce(self, **values):
-        """Announce a sound upstream and another one at its address; return what is found."""
+    SOUND = build_registration(1, lifetime_ms=LIFETIME_MS)
+
+    def announce_in_turn(self, **registrations):
+        """Announce registrations to a replica, answered by their keys; return the cluster."""
         cluster = ControlCluster(controls=2)
-        cluster.run(1.0)
+        cluster.run(2.0)
         cluster.commit(3)
         replica = cluster.running[cluster.seeds[0]]
-        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
-        replica.handle_announcement(sound, "sound", cluster.now)
-        other = build_registration(1, **({"lifetime_ms": LIFETIME_MS} | values))
-        replica.handle_announcement(other, "other", cluster.now)
+        for reply, registration in registrations.items():
+            replica.handle_announcement(registration, reply, cluster.now)
         cluster.run(1.0)
+        return cluster
+
+    def announce(self, **values):
+        """Announce a sound upstream and another one at its address; return what is found."""
+        other = build_registration(1, **({"lifetime_ms": LIFETIME_MS} | values))
+        cluster = self.announce_in_turn(sound=self.SOUND, other=other)
         return cluster.acknowledgements["other"], list_found(cluster)
 
     def test_unknown_service_takes_none(self):
@@ -124,16 +130,9 @@
 
     def test_target_is_found_after_an_unknown_service_took_its_free_address(self):
         """It was announced first, with a later start, and hides the target; soak, seed 226."""
-        cluster = ControlCluster(controls=2)
-        cluster.run(2.0)
-        cluster.commit(3)
-        replica = cluster.running[cluster.seeds[0]]
         odd = build_registration(1, service="never seen", name="i-odd", incarnation=9000)
-        replica.handle_announcement(odd, "odd", cluster.now)
-        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
-        replica.handle_announcement(sound, "sound", cluster.now)
-        cluster.run(1.0)
-        assert list_found(cluster) == [[sound.name]] * 2
+        cluster = self.announce_in_turn(odd=odd, sound=self.SOUND)
+        assert list_found(cluster) == [[self.SOUND.name]] * 2
 
     def test_target_is_found_after_the_configuration_names_its_service(self):
         """No replica had a configuration yet, so that the later start held the address."""
@@ -177,16 +176,10 @@
     @pytest.mark.parametrize("sequence", [100_000, 2**31 - 1])
     def test_sequence_far_ahead_hides_no_heartbeat(self, sequence):
         """The target's own heartbeats were ignored until its next start, its drain too."""
-        cluster = ControlCluster(controls=2)
-        cluster.run(2.0)
-        cluster.commit(3)
+        odd = attrs.evolve(self.SOUND, sequence=sequence)
+        cluster = self.announce_in_turn(sound=self.SOUND, odd=odd)
         replica = cluster.running[cluster.seeds[0]]
-        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
-        replica.handle_announcement(sound, "sound", cluster.now)
-        odd = attrs.evolve(sound, sequence=sequence)
-        replica.handle_announcement(odd, "odd", cluster.now)
-        cluster.run(1.0)
-        drained = attrs.evolve(sound, sequence=2, draining=True)
+        drained = attrs.evolve(self.SOUND, sequence=2, draining=True)
         replica.handle_announcement(drained, "drained", cluster.now)
         cluster.run(1.0)
         assert cluster.acknowledgements == {"sound": True, "odd": False, "drained": True}
@@ -205,16 +198,9 @@
         assert cluster.acknowledgements["later"]
 
     def test_start_copied_by_an_unknown_service_hides_no_target(self):
-        cluster = ControlCluster(controls=2)
-        cluster.run(2.0)
-        cluster.commit(3)
-        replica = cluster.running[cluster.seeds[0]]
-        sound = build_registration(1, lifetime_ms=LIFETIME_MS)
         odd = build_registration(1, service="never seen", sequence=9)
-        replica.handle_announcement(odd, "odd", cluster.now)
-        replica.handle_announcement(sound, "sound", cluster.now)
-        cluster.run(1.0)
-        assert list_found(cluster) == [[sound.name]] * 2
+        cluster = self.announce_in_turn(odd=odd, sound=self.SOUND)
+        assert list_found(cluster) == [[self.SOUND.name]] * 2
 
     def test_eviction_of_the_hidden_upstream_keeps_the_target(self):
         """Both had the same address and start, by which upstreams are found."""
